Lay out the workspace and the shared types

Cause: nothing stood yet; every package needs the same ids, clock and verdict. Conclusion: the packages can now be filled in apart from each other.

--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry.
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Filled in by the next commits.
--- /dev/null
+++ b/crates/types/src/call_id.rs
@@ -0,0 +1,17 @@
+/// Names one try of one request between two daemons, so that its fate can be asked for.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CallId(pub u128);
+
+impl CallId {
+    /// Draws an id; 128 random bits make a clash negligible within the time that fates are kept.
+    #[must_use]
+    pub fn draw(random: &mut fastrand::Rng) -> Self {
+        Self(random.u128(..))
+    }
+}
+
+impl std::fmt::Display for CallId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/types/src/service_name.rs
@@ -0,0 +1,6 @@
+use crate::text_id::text_id;
+
+text_id!(
+    /// Names a service, which several upstreams offer.
+    ServiceName
+);
