--- /dev/null
+++ b/crates/bench/src/stand_in_platform.rs
@@ -0,0 +1,270 @@
+use std::{
+    io::{Cursor, Read},
+    net::SocketAddr,
+    sync::Arc,
+    thread::JoinHandle,
+};
+
+use medlarspool_platform::{
+    BatchConflict, FakeFaults, FakePlatform, Platform, PlatformError, Row, RowCondition, RowWrite,
+    TableBatch,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use crate::StandInPlatformError;
+
+/// The largest body that is read, in bytes.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// The threads that answer.
+const THREADS: usize = 8;
+
+type Answer = Response<Cursor<Vec<u8>>>;
+
+/// The platform's HTTP interface over a [`FakePlatform`]; stops when it is dropped.
+///
+/// `docs/design/platform.md` describes the interface.
+pub struct StandInPlatform {
+    address: SocketAddr,
+    server: Arc<Server>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl StandInPlatform {
+    /// Starts to answer on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub fn start(
+        platform: &FakePlatform,
+        listen: SocketAddr,
+        token: &str,
+    ) -> Result<Self, StandInPlatformError> {
+        let failed = |reason: String| StandInPlatformError::Listen(reason);
+        let server = Server::http(listen).map_err(|error| failed(error.to_string()))?;
+        let server = Arc::new(server);
+        let address = server.server_addr().to_ip();
+        let address = address.ok_or_else(|| failed("no IP address".into()))?;
+        let threads = (0..THREADS).map(|_| {
+            let desk = Desk {
+                authorization: format!("Bearer {token}"),
+                platform: platform.clone(),
+            };
+            let server = Arc::clone(&server);
+            std::thread::spawn(move || {
+                server
+                    .incoming_requests()
+                    .for_each(|request| desk.handle(request));
+            })
+        });
+        Ok(Self {
+            address,
+            threads: threads.collect(),
+            server,
+        })
+    }
+
+    /// Returns the address that is listened on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Answers until the process ends.
+    pub fn wait(mut self) {
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for StandInPlatform {
+    fn drop(&mut self) {
+        for _ in 0..THREADS {
+            self.server.unblock();
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// What answers one request at a time.
+struct Desk {
+    authorization: String,
+    platform: FakePlatform,
+}
+
+impl Desk {
+    fn handle(&self, mut request: Request) {
+        let mut body = Vec::new();
+        let read = request
+            .as_reader()
+            .take(MAX_BODY_BYTES)
+            .read_to_end(&mut body);
+        let answer = match read {
+            Ok(_) => self.answer(&request, &body),
+            Err(_) => empty(400),
+        };
+        // An answer that nobody waits for any longer is none of the platform's business.
+        let _ = request.respond(answer);
+    }
+
+    fn answer(&self, request: &Request, body: &[u8]) -> Answer {
+        let url = request.url();
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        if let Some(path) = path.strip_prefix("/admin/") {
+            return self.administer(request.method(), path, body);
+        }
+        if header(request, "authorization") != Some(self.authorization.as_str()) {
+            return empty(401);
+        }
+        if let Some(name) = path.strip_prefix("/objects/") {
+            return self.object(request.method(), name, body);
+        }
+        if let Some(key) = path.strip_prefix("/table/") {
+            return self.row(request, key, body);
+        }
+        match (request.method(), path) {
+            (Method::Get, "/table") => self.rows(query),
+            (Method::Post, "/table") => self.transact(body),
+            _ => empty(404),
+        }
+    }
+
+    fn administer(&self, method: &Method, path: &str, body: &[u8]) -> Answer {
+        match (method, path) {
+            (Method::Get, "counts") => json(200, &self.platform.counts()),
+            (Method::Get, "faults") => json(200, &self.platform.faults()),
+            (Method::Put, "faults") => match parse::<FakeFaults>(body) {
+                Ok(faults) => {
+                    self.platform.set_faults(faults);
+                    empty(204)
+                }
+                Err(answer) => answer,
+            },
+            _ => empty(404),
+        }
+    }
+
+    fn object(&self, method: &Method, name: &str, body: &[u8]) -> Answer {
+        match method {
+            Method::Get => match self.platform.object(name) {
+                Ok(Some(content)) => Response::from_data(content),
+                Ok(None) => empty(404),
+                Err(error) => failed(&error),
+            },
+            Method::Put => done(self.platform.put_object(name, body)),
+            _ => empty(405),
+        }
+    }
+
+    fn row(&self, request: &Request, key: &str, body: &[u8]) -> Answer {
+        let value = match request.method() {
+            Method::Delete => None,
+            Method::Get => return self.get_row(key),
+            Method::Put => match String::from_utf8(body.to_vec()) {
+                Ok(value) => Some(value),
+                Err(_) => return empty(400),
+            },
+            _ => return empty(405),
+        };
+        let Some(condition) = condition(request) else {
+            return empty(400);
+        };
+        done(self.platform.transact(&[RowWrite {
+            condition,
+            key: key.into(),
+            value,
+        }]))
+    }
+
+    fn get_row(&self, key: &str) -> Answer {
+        match self.platform.row(key) {
+            Ok(Some(Row { etag, value, .. })) => {
+                let answer = Response::from_data(value.into_bytes());
+                match Header::from_bytes("etag", format!("\"{etag}\"")) {
+                    Ok(header) => answer.with_header(header),
+                    Err(()) => empty(500),
+                }
+            }
+            Ok(None) => empty(404),
+            Err(error) => failed(&error),
+        }
+    }
+
+    fn rows(&self, query: &str) -> Answer {
+        let field = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let prefix = field("prefix").unwrap_or("");
+        let limit = field("limit").and_then(|limit| limit.parse().ok());
+        match limit.map(|limit| self.platform.rows(prefix, limit)) {
+            Some(Ok(rows)) => json(200, &rows),
+            Some(Err(error)) => failed(&error),
+            None => empty(400),
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Answer {
+        match parse::<TableBatch>(body) {
+            Ok(batch) => done(self.platform.transact(&batch.writes)),
+            Err(answer) => answer,
+        }
+    }
+}
+
+/// Reads the condition of a write from RFC 9110's header fields; `None` if they are malformed.
+fn condition(request: &Request) -> Option<RowCondition> {
+    match (
+        header(request, "if-match"),
+        header(request, "if-none-match"),
+    ) {
+        (None, None) => Some(RowCondition::Any),
+        (None, Some("*")) => Some(RowCondition::Absent),
+        (Some(etag), None) => {
+            let etag = etag.trim_matches('"').parse().ok()?;
+            Some(RowCondition::Matches(etag))
+        }
+        _ => None,
+    }
+}
+
+fn header<'request>(request: &'request Request, name: &'static str) -> Option<&'request str> {
+    let mut headers = request.headers().iter();
+    let found = headers.find(|header| header.field.equiv(name))?;
+    Some(found.value.as_str())
+}
+
+fn done(result: Result<(), PlatformError>) -> Answer {
+    match result {
+        Ok(()) => empty(204),
+        Err(error) => failed(&error),
+    }
+}
+
+fn failed(error: &PlatformError) -> Answer {
+    match error {
+        PlatformError::Conflict { key } => json(412, &BatchConflict { key: key.clone() }),
+        PlatformError::Malformed(_) => empty(400),
+        PlatformError::OutcomeUnknown(_) => empty(500),
+        PlatformError::Unauthorized => empty(401),
+        PlatformError::Unavailable(_) => empty(503),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Answer> {
+    serde_json::from_slice(body)
+        .map_err(|error| Response::from_string(error.to_string()).with_status_code(400))
+}
+
+fn json<T: Serialize>(status: u16, value: &T) -> Answer {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    Response::from_data(body).with_status_code(status)
+}
+
+fn empty(status: u16) -> Answer {
+    Response::from_data(Vec::new()).with_status_code(status)
+}
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,179 @@
+//! The checks that lists pass before they are accepted and before they are routed by.
+
+use std::{
+    collections::{HashMap, HashSet},
+    fmt::Display,
+    hash::Hash,
+};
+
+use crate::{
+    ConfigError, Lists,
+    documents::{CUSTOMERS_LIST, CustomersDocument, PLANS_LIST, PlansDocument, field_error},
+    limits,
+};
+
+/// Checks the lists as read, so that errors can name the line.
+pub(crate) fn check_placed(
+    customers: &CustomersDocument,
+    plans: &PlansDocument,
+) -> Result<(), ConfigError> {
+    let mut services = Seen::new(PLANS_LIST, "service");
+    for placed in &plans.services {
+        services.insert(&placed.entry.service, placed.line)?;
+    }
+    let mut plan_ids = Seen::new(PLANS_LIST, "plan");
+    for placed in &plans.plans {
+        plan_ids.insert(&placed.entry.plan, placed.line)?;
+        let mut uses = Seen::new(PLANS_LIST, "uses");
+        for used in &placed.entry.uses {
+            services.require("uses", used, placed.line, "service")?;
+            uses.insert(used, placed.line)?;
+        }
+    }
+    let mut customer_ids = Seen::new(CUSTOMERS_LIST, "customer");
+    let mut credentials = Seen::new(CUSTOMERS_LIST, "credential_sha256");
+    for placed in &customers.customers {
+        customer_ids.insert(&placed.entry.customer, placed.line)?;
+        credentials.insert(&placed.entry.credential_sha256, placed.line)?;
+        plan_ids.require_in(CUSTOMERS_LIST, "plan", &placed.entry.plan, placed.line)?;
+    }
+    Ok(())
+}
+
+/// Checks lists whatever they came from.
+pub(crate) fn check(lists: &Lists) -> Result<(), ConfigError> {
+    check_counts(lists)?;
+    check_services(lists)?;
+    check_plans(lists)?;
+    check_customers(lists)
+}
+
+fn check_counts(lists: &Lists) -> Result<(), ConfigError> {
+    limit(
+        "customers",
+        lists.customers().len(),
+        0,
+        limits::MAX_CUSTOMERS,
+    )?;
+    limit("plans", lists.plans().len(), 0, limits::MAX_PLANS)?;
+    limit("services", lists.services().len(), 0, limits::MAX_SERVICES)
+}
+
+fn check_services(lists: &Lists) -> Result<(), ConfigError> {
+    for pair in lists.services().windows(2) {
+        differ("service", &pair[0].service, &pair[1].service)?;
+    }
+    for entry in lists.services() {
+        let timeout_ms = u64::try_from(entry.timeout_ms.as_millis()).unwrap_or(u64::MAX);
+        limit("timeout_ms", timeout_ms, 1, limits::MAX_TIMEOUT_MS)?;
+        let most = limits::MAX_REQUEST_BYTES;
+        limit("max_request_bytes", entry.max_request_bytes, 0, most)?;
+    }
+    Ok(())
+}
+
+fn check_plans(lists: &Lists) -> Result<(), ConfigError> {
+    for pair in lists.plans().windows(2) {
+        differ("plan", &pair[0].plan, &pair[1].plan)?;
+    }
+    for entry in lists.plans() {
+        limit("weight", entry.weight, 1, limits::MAX_WEIGHT)?;
+        for pair in entry.uses.windows(2) {
+            differ("service in a plan's uses", &pair[0], &pair[1])?;
+        }
+        for used in &entry.uses {
+            if lists.service(used).is_none() {
+                return Err(ConfigError::Unknown {
+                    key: format!("plan `{}`", entry.plan),
+                    missing: format!("service `{used}`"),
+                });
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check_customers(lists: &Lists) -> Result<(), ConfigError> {
+    for pair in lists.customers().windows(2) {
+        differ("customer", &pair[0].customer, &pair[1].customer)?;
+    }
+    let mut credentials = HashSet::with_capacity(lists.customers().len());
+    for entry in lists.customers() {
+        if !credentials.insert(entry.credential_sha256) {
+            return Err(ConfigError::Duplicate {
+                key: format!("credential_sha256 `{}`", entry.credential_sha256),
+            });
+        }
+        if lists.plan(&entry.plan).is_none() {
+            return Err(ConfigError::Unknown {
+                key: format!("customer `{}`", entry.customer),
+                missing: format!("plan `{}`", entry.plan),
+            });
+        }
+    }
+    Ok(())
+}
+
+fn differ<T: Display + PartialEq>(kind: &str, one: &T, other: &T) -> Result<(), ConfigError> {
+    if one == other {
+        return Err(ConfigError::Duplicate {
+            key: format!("{kind} `{one}`"),
+        });
+    }
+    Ok(())
+}
+
+fn limit<T: TryInto<u64>>(field: &str, value: T, least: T, most: T) -> Result<(), ConfigError> {
+    let wide = |number: T| number.try_into().unwrap_or(u64::MAX);
+    let (value, least, most) = (wide(value), wide(least), wide(most));
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(ConfigError::Limit {
+        field: field.into(),
+        least,
+        most,
+        value,
+    })
+}
+
+/// The values of one field that were met so far, with their lines.
+struct Seen<'list, T> {
+    field: &'static str,
+    lines: HashMap<&'list T, u64>,
+    list: &'static str,
+}
+
+impl<'list, T: Display + Eq + Hash> Seen<'list, T> {
+    fn new(list: &'static str, field: &'static str) -> Self {
+        Self {
+            field,
+            lines: HashMap::new(),
+            list,
+        }
+    }
+
+    fn insert(&mut self, value: &'list T, line: u64) -> Result<(), ConfigError> {
+        let Some(first) = self.lines.insert(value, line) else {
+            return Ok(());
+        };
+        let reason = format!("`{value}` is listed already in line {first}");
+        Err(field_error(self.list, self.field, line, reason))
+    }
+
+    fn require(&self, field: &str, value: &T, line: u64, kind: &str) -> Result<(), ConfigError> {
+        if self.lines.contains_key(value) {
+            return Ok(());
+        }
+        let reason = format!("`{value}` is no listed {kind}");
+        Err(field_error(self.list, field, line, reason))
+    }
+
+    fn require_in(&self, list: &str, field: &str, value: &T, line: u64) -> Result<(), ConfigError> {
+        if self.lines.contains_key(value) {
+            return Ok(());
+        }
+        let reason = format!("`{value}` is no listed {}", self.field);
+        Err(field_error(list, field, line, reason))
+    }
+}
--- /dev/null
+++ b/crates/config/src/delta.rs
@@ -0,0 +1,133 @@
+use std::sync::Arc;
+
+use medlarspool_types::ConfigHead;
+use prost::Message;
+
+use crate::{
+    ConfigError, EntryChange, ListsPatch, Snapshot, limits, lists_codec,
+    wire::{DeltaMessage, ListsMessage},
+};
+
+/// What turns exactly one version of the lists into another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Delta {
+    base: ConfigHead,
+    head: ConfigHead,
+    patch: ListsPatch,
+}
+
+impl Delta {
+    /// Finds what turns one snapshot into another.
+    #[must_use]
+    pub fn between(base: &Snapshot, next: &Snapshot) -> Self {
+        Self {
+            base: base.head(),
+            head: next.head(),
+            patch: ListsPatch::between(base.lists(), next.lists()),
+        }
+    }
+
+    /// Returns the version that the delta applies to.
+    #[must_use]
+    pub fn base(&self) -> ConfigHead {
+        self.base
+    }
+
+    /// Returns the version that it results in.
+    #[must_use]
+    pub fn head(&self) -> ConfigHead {
+        self.head
+    }
+
+    /// Returns the changed entries.
+    #[must_use]
+    pub fn patch(&self) -> &ListsPatch {
+        &self.patch
+    }
+
+    /// Builds the next snapshot beside the one held.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another base is held or if the result is not the version that the delta names.
+    pub fn apply(&self, base: &Snapshot) -> Result<Snapshot, ConfigError> {
+        if base.head().version != self.base.version {
+            return Err(ConfigError::Base {
+                held: base.head().version,
+                needed: self.base.version,
+            });
+        }
+        if base.head().digest != self.base.digest {
+            return Err(ConfigError::BaseDigest {
+                version: self.base.version,
+            });
+        }
+        let lists = self.patch.apply(base.lists())?;
+        Snapshot::build(self.head, Arc::new(lists))
+    }
+
+    /// Returns the encoding.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut message = DeltaMessage {
+            base: self.base.into(),
+            head: self.head.into(),
+            ..DeltaMessage::default()
+        };
+        let mut customers = Vec::new();
+        let mut plans = Vec::new();
+        let mut services = Vec::new();
+        for change in self.patch.changes() {
+            match change {
+                EntryChange::PutCustomer(entry) => customers.push(entry),
+                EntryChange::PutPlan(entry) => plans.push(entry),
+                EntryChange::PutService(entry) => services.push(entry),
+                EntryChange::RemoveCustomer(id) => message.removed_customers.push(id.to_string()),
+                EntryChange::RemovePlan(id) => message.removed_plans.push(id.to_string()),
+                EntryChange::RemoveService(id) => message.removed_services.push(id.to_string()),
+            }
+        }
+        message.put = lists_codec::message(customers, plans, services);
+        message.encode_to_vec()
+    }
+
+    /// Reads an encoding.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is too large or damaged.
+    pub fn decode(encoded: &[u8]) -> Result<Self, ConfigError> {
+        if encoded.len() > limits::MAX_DELTA_BYTES {
+            return Err(ConfigError::Limit {
+                field: "delta, bytes".into(),
+                least: 0,
+                most: limits::MAX_DELTA_BYTES as u64,
+                value: encoded.len() as u64,
+            });
+        }
+        let message = DeltaMessage::decode(encoded).map_err(lists_codec::damaged)?;
+        let mut changes = put_changes(message.put)?;
+        for id in &message.removed_customers {
+            changes.push(EntryChange::RemoveCustomer(lists_codec::id(id)?));
+        }
+        for id in &message.removed_plans {
+            changes.push(EntryChange::RemovePlan(lists_codec::id(id)?));
+        }
+        for id in &message.removed_services {
+            changes.push(EntryChange::RemoveService(lists_codec::id(id)?));
+        }
+        Ok(Self {
+            base: message.base.into(),
+            head: message.head.into(),
+            patch: ListsPatch::new(changes),
+        })
+    }
+}
+
+fn put_changes(message: ListsMessage) -> Result<Vec<EntryChange>, ConfigError> {
+    let put = lists_codec::entries(message)?;
+    let customers = put.customers.into_iter().map(EntryChange::PutCustomer);
+    let plans = put.plans.into_iter().map(EntryChange::PutPlan);
+    let services = put.services.into_iter().map(EntryChange::PutService);
+    Ok(customers.chain(plans).chain(services).collect())
+}
--- /dev/null
+++ b/crates/config/src/entry_change.rs
@@ -0,0 +1,35 @@
+use medlarspool_types::{CustomerId, PlanId, ServiceName};
+
+use crate::{CustomerEntry, EntryKey, PlanEntry, ServiceEntry};
+
+/// One entry that is put in place of whatever stands under its key, or removed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EntryChange {
+    /// A customer is added or replaced.
+    PutCustomer(CustomerEntry),
+    /// A plan is added or replaced.
+    PutPlan(PlanEntry),
+    /// A service is added or replaced.
+    PutService(ServiceEntry),
+    /// A customer is removed.
+    RemoveCustomer(CustomerId),
+    /// A plan is removed.
+    RemovePlan(PlanId),
+    /// A service is removed.
+    RemoveService(ServiceName),
+}
+
+impl EntryChange {
+    /// Returns the entry that the change is about.
+    #[must_use]
+    pub fn key(&self) -> EntryKey {
+        match self {
+            Self::PutCustomer(entry) => EntryKey::Customer(entry.customer.clone()),
+            Self::PutPlan(entry) => EntryKey::Plan(entry.plan.clone()),
+            Self::PutService(entry) => EntryKey::Service(entry.service.clone()),
+            Self::RemoveCustomer(customer) => EntryKey::Customer(customer.clone()),
+            Self::RemovePlan(plan) => EntryKey::Plan(plan.clone()),
+            Self::RemoveService(service) => EntryKey::Service(service.clone()),
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,30 @@
-//! Filled in by the next commits.
+//! The two lists that operators edit, their checks, and the snapshot that requests are routed by.
+//!
+//! Everything here is a pure function of its input, so that every daemon that holds a version routes
+//! alike. See `docs/design/commit.md`.
+
+mod check;
+mod config_error;
+mod credential_hash;
+mod customer_entry;
+mod delta;
+mod documents;
+mod entry_change;
+mod entry_key;
+pub mod limits;
+mod lists;
+mod lists_codec;
+mod lists_patch;
+mod plan_entry;
+mod route;
+mod route_decision;
+mod service_entry;
+mod snapshot;
+mod wire;
+
+pub use crate::{
+    config_error::ConfigError, credential_hash::CredentialHash, customer_entry::CustomerEntry,
+    delta::Delta, entry_change::EntryChange, entry_key::EntryKey, lists::Lists,
+    lists_patch::ListsPatch, plan_entry::PlanEntry, route::Route, route_decision::RouteDecision,
+    service_entry::ServiceEntry, snapshot::Snapshot,
+};
--- /dev/null
+++ b/crates/config/src/route_decision.rs
@@ -0,0 +1,14 @@
+use crate::Route;
+
+/// Whether a customer may use a service under one version of the lists.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteDecision<'snapshot> {
+    /// The customer's plan allows the service.
+    Allowed(Route<'snapshot>),
+    /// The customer's plan does not name the service.
+    NotInPlan,
+    /// No such customer is listed.
+    UnknownCustomer,
+    /// No such service is listed.
+    UnknownService,
+}
--- /dev/null
+++ b/crates/config/src/snapshot.rs
@@ -0,0 +1,73 @@
+use std::{collections::HashMap, sync::Arc};
+
+use medlarspool_types::{ConfigHead, CustomerId, ServiceName};
+
+use crate::{ConfigError, CredentialHash, CustomerEntry, Lists, Route, RouteDecision};
+
+/// One version of the lists, checked whole and ready to route by; it never changes.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    by_credential: HashMap<CredentialHash, usize>,
+    head: ConfigHead,
+    lists: Arc<Lists>,
+}
+
+impl Snapshot {
+    /// Builds the snapshot of a version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the lists are not those of the version.
+    pub fn build(head: ConfigHead, lists: Arc<Lists>) -> Result<Self, ConfigError> {
+        let found = lists.digest();
+        if found != head.digest {
+            return Err(ConfigError::Digest { found, head });
+        }
+        let customers = lists.customers().iter().enumerate();
+        let by_credential = customers.map(|(at, e)| (e.credential_sha256, at)).collect();
+        Ok(Self {
+            by_credential,
+            head,
+            lists,
+        })
+    }
+
+    /// Returns the version and digest.
+    #[must_use]
+    pub fn head(&self) -> ConfigHead {
+        self.head
+    }
+
+    /// Returns the lists.
+    #[must_use]
+    pub fn lists(&self) -> &Arc<Lists> {
+        &self.lists
+    }
+
+    /// Finds the customer whose credential a caller sent.
+    #[must_use]
+    pub fn authenticate(&self, credential: &str) -> Option<&CustomerEntry> {
+        let at = *self.by_credential.get(&CredentialHash::of(credential))?;
+        self.lists.customers().get(at)
+    }
+
+    /// Decides whether a customer may use a service.
+    #[must_use]
+    pub fn route(&self, customer: &CustomerId, service: &ServiceName) -> RouteDecision<'_> {
+        let Some(customer) = self.lists.customer(customer) else {
+            return RouteDecision::UnknownCustomer;
+        };
+        let Some(service) = self.lists.service(service) else {
+            return RouteDecision::UnknownService;
+        };
+        match self.lists.plan(&customer.plan) {
+            Some(plan) if plan.uses.binary_search(&service.service).is_ok() => {
+                RouteDecision::Allowed(Route {
+                    service,
+                    weight: plan.weight,
+                })
+            }
+            _ => RouteDecision::NotInPlan,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fake_faults.rs
@@ -0,0 +1,23 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// How a fake platform fails.
+#[serde_as]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FakeFaults {
+    /// The time that each call takes longer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub delay_ms: Duration,
+    /// Refuses every call.
+    pub down: bool,
+    /// The number of coming writes that arrive only after a few later calls, if at all; the writer
+    /// gets no answer.
+    pub late_writes: u32,
+    /// The number of coming writes that take effect but whose answer is lost.
+    pub lost_answers: u32,
+    /// The number of coming writes that are lost before they take effect; the writer gets no answer.
+    pub lost_writes: u32,
+}
--- /dev/null
+++ b/crates/platform/src/fake_platform.rs
@@ -0,0 +1,236 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use medlarspool_types::{Clock, SystemClock};
+
+use crate::{FakeCounts, FakeFaults, Platform, PlatformError, Row, RowCondition, RowWrite};
+
+/// The number of later calls after which a late write arrives.
+const LATE_CALLS: u32 = 3;
+
+/// The platform in memory, for tests and stand-ins; clones share one state.
+#[derive(Clone)]
+pub struct FakePlatform {
+    clock: Arc<dyn Clock>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    counts: FakeCounts,
+    faults: FakeFaults,
+    last_etag: u64,
+    late: Vec<LateWrite>,
+    objects: BTreeMap<String, Vec<u8>>,
+    reads: Window,
+    rows: BTreeMap<String, Row>,
+    writes: Window,
+}
+
+/// The calls within the current second of the clock.
+#[derive(Default)]
+struct Window {
+    calls: u64,
+    start: Option<Instant>,
+}
+
+struct LateWrite {
+    calls_left: u32,
+    write: Write,
+}
+
+enum Write {
+    Object(String, Vec<u8>),
+    Rows(Vec<RowWrite>),
+}
+
+impl FakePlatform {
+    /// Makes an empty platform whose calls are counted by a clock's seconds.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            clock,
+            state: Arc::default(),
+        }
+    }
+
+    /// Returns what was asked so far.
+    #[must_use]
+    pub fn counts(&self) -> FakeCounts {
+        self.lock().counts
+    }
+
+    /// Returns how the platform fails at present.
+    #[must_use]
+    pub fn faults(&self) -> FakeFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Sets how the platform fails from now on.
+    pub fn set_faults(&self, faults: FakeFaults) {
+        self.lock().faults = faults;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn delay(&self) {
+        let delay = self.lock().faults.delay_ms;
+        if !delay.is_zero() {
+            std::thread::sleep(delay);
+        }
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&State) -> T) -> Result<T, PlatformError> {
+        self.delay();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.counts.reads += 1;
+        let peak = state.reads.count(now);
+        state.counts.peak_reads_per_second = state.counts.peak_reads_per_second.max(peak);
+        state.refuse_if_down()?;
+        state.deliver_late_writes();
+        Ok(read(&state))
+    }
+
+    fn write(&self, write: Write) -> Result<(), PlatformError> {
+        self.delay();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.counts.writes += 1;
+        let peak = state.writes.count(now);
+        state.counts.peak_writes_per_second = state.counts.peak_writes_per_second.max(peak);
+        state.refuse_if_down()?;
+        state.deliver_late_writes();
+        state.write(write)
+    }
+}
+
+impl Default for FakePlatform {
+    fn default() -> Self {
+        Self::new(Arc::new(SystemClock))
+    }
+}
+
+impl Platform for FakePlatform {
+    fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        self.read(|state| state.objects.get(name).cloned())
+    }
+
+    fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        self.write(Write::Object(name.into(), content.into()))
+    }
+
+    fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        self.read(|state| state.rows.get(key).cloned())
+    }
+
+    fn rows(&self, prefix: &str, limit: usize) -> Result<Vec<Row>, PlatformError> {
+        self.read(|state| {
+            let from = state.rows.range(prefix.to_owned()..);
+            let matching = from.take_while(|(key, _)| key.starts_with(prefix));
+            matching.take(limit).map(|(_, row)| row.clone()).collect()
+        })
+    }
+
+    fn transact(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
+        self.write(Write::Rows(writes.to_vec()))
+    }
+}
+
+impl State {
+    fn refuse_if_down(&self) -> Result<(), PlatformError> {
+        if self.faults.down {
+            return Err(PlatformError::Unavailable("told to be down".into()));
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, write: Write) -> Result<(), PlatformError> {
+        if take_one(&mut self.faults.lost_writes) {
+            return Err(PlatformError::OutcomeUnknown("the request was lost".into()));
+        }
+        if take_one(&mut self.faults.late_writes) {
+            let calls_left = LATE_CALLS;
+            self.late.push(LateWrite { calls_left, write });
+            return Err(PlatformError::OutcomeUnknown("the request is late".into()));
+        }
+        let result = self.apply(write);
+        if take_one(&mut self.faults.lost_answers) {
+            return Err(PlatformError::OutcomeUnknown("the answer was lost".into()));
+        }
+        result
+    }
+
+    fn deliver_late_writes(&mut self) {
+        for late in &mut self.late {
+            late.calls_left = late.calls_left.saturating_sub(1);
+        }
+        let (due, late) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|late| late.calls_left == 0);
+        self.late = late;
+        for late in due {
+            // Its writer has given up; whether the conditions still hold decides.
+            let _ = self.apply(late.write);
+        }
+    }
+
+    fn apply(&mut self, write: Write) -> Result<(), PlatformError> {
+        match write {
+            Write::Object(name, content) => {
+                self.objects.insert(name, content);
+                Ok(())
+            }
+            Write::Rows(writes) => self.apply_rows(writes),
+        }
+    }
+
+    fn apply_rows(&mut self, writes: Vec<RowWrite>) -> Result<(), PlatformError> {
+        if let Some(failed) = writes.iter().find(|write| !self.holds(write)) {
+            let key = failed.key.clone();
+            return Err(PlatformError::Conflict { key });
+        }
+        for RowWrite { key, value, .. } in writes {
+            self.last_etag += 1;
+            let etag = self.last_etag;
+            match value {
+                Some(value) => self.rows.insert(key.clone(), Row { etag, key, value }),
+                None => self.rows.remove(&key),
+            };
+        }
+        Ok(())
+    }
+
+    fn holds(&self, write: &RowWrite) -> bool {
+        let etag = self.rows.get(&write.key).map(|row| row.etag);
+        match write.condition {
+            RowCondition::Absent => etag.is_none(),
+            RowCondition::Any => true,
+            RowCondition::Matches(wanted) => etag == Some(wanted),
+        }
+    }
+}
+
+impl Window {
+    /// Counts a call and returns the calls within the second that it falls in.
+    fn count(&mut self, now: Instant) -> u64 {
+        let start = *self.start.get_or_insert(now);
+        if now.duration_since(start) >= Duration::from_secs(1) {
+            self.start = Some(now);
+            self.calls = 0;
+        }
+        self.calls += 1;
+        self.calls
+    }
+}
+
+fn take_one(left: &mut u32) -> bool {
+    let any = *left > 0;
+    *left = left.saturating_sub(1);
+    any
+}
--- /dev/null
+++ b/crates/platform/src/http_platform.rs
@@ -0,0 +1,157 @@
+use std::{net::SocketAddr, time::Duration};
+
+use serde::de::DeserializeOwned;
+use ureq::{Agent, Body, http::Response};
+
+use crate::{BatchConflict, Platform, PlatformError, Row, RowWrite, TableBatch};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
+/// The platform met through plain HTTP, as `docs/design/platform.md` describes.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    agent: Agent,
+    authorization: String,
+    base: String,
+}
+
+impl HttpPlatform {
+    /// Makes a client that gives each call up after `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, token: &str, timeout: Duration) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_global(Some(timeout))
+            .build();
+        Self {
+            agent: config.into(),
+            authorization: format!("Bearer {token}"),
+            base: format!("http://{address}"),
+        }
+    }
+
+    fn get(&self, path: &str) -> Result<Response<Body>, PlatformError> {
+        let request = self.agent.get(format!("{}{path}", self.base));
+        request
+            .header("authorization", &self.authorization)
+            .call()
+            .map_err(|error| PlatformError::Unavailable(error.to_string()))
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let mut response = self.get(&format!("/objects/{name}"))?;
+        match response.status().as_u16() {
+            200 => read_bytes(&mut response).map(Some),
+            404 => Ok(None),
+            status => Err(refused(status)),
+        }
+    }
+
+    fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        let request = self.agent.put(format!("{}/objects/{name}", self.base));
+        let sent = request
+            .header("authorization", &self.authorization)
+            .content_type("application/octet-stream")
+            .send(content);
+        match sent.map_err(|error| write_error(&error))?.status().as_u16() {
+            200..=204 => Ok(()),
+            status => Err(refused(status)),
+        }
+    }
+
+    fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        let mut response = self.get(&format!("/table/{key}"))?;
+        match response.status().as_u16() {
+            200 => Ok(Some(Row {
+                etag: etag(&response)?,
+                key: key.into(),
+                value: read_text(&mut response)?,
+            })),
+            404 => Ok(None),
+            status => Err(refused(status)),
+        }
+    }
+
+    fn rows(&self, prefix: &str, limit: usize) -> Result<Vec<Row>, PlatformError> {
+        let mut response = self.get(&format!("/table?prefix={prefix}&limit={limit}"))?;
+        match response.status().as_u16() {
+            200 => read_json(&mut response),
+            status => Err(refused(status)),
+        }
+    }
+
+    fn transact(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
+        let batch = TableBatch {
+            writes: writes.to_vec(),
+        };
+        let body = serde_json::to_vec(&batch)
+            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let request = self.agent.post(format!("{}/table", self.base));
+        let sent = request
+            .header("authorization", &self.authorization)
+            .content_type("application/json")
+            .send(&body);
+        let mut response = sent.map_err(|error| write_error(&error))?;
+        match response.status().as_u16() {
+            200..=204 => Ok(()),
+            412 => {
+                let conflict: BatchConflict = read_json(&mut response)?;
+                Err(PlatformError::Conflict { key: conflict.key })
+            }
+            status => Err(refused(status)),
+        }
+    }
+}
+
+/// Only a connection that never came about proves that a write was not seen.
+fn write_error(error: &ureq::Error) -> PlatformError {
+    match error {
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            PlatformError::Unavailable(error.to_string())
+        }
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+            PlatformError::Unavailable(error.to_string())
+        }
+        _ => PlatformError::OutcomeUnknown(error.to_string()),
+    }
+}
+
+fn refused(status: u16) -> PlatformError {
+    match status {
+        401 | 403 => PlatformError::Unauthorized,
+        429 | 503 => PlatformError::Unavailable(format!("status `{status}`")),
+        500.. => PlatformError::OutcomeUnknown(format!("status `{status}`")),
+        _ => PlatformError::Malformed(format!("status `{status}`")),
+    }
+}
+
+fn etag(response: &Response<Body>) -> Result<u64, PlatformError> {
+    let header = response.headers().get("etag");
+    let text = header.and_then(|value| value.to_str().ok()).unwrap_or("");
+    text.trim_matches('"')
+        .parse()
+        .map_err(|_| PlatformError::Malformed(format!("etag `{text}`")))
+}
+
+fn read_bytes(response: &mut Response<Body>) -> Result<Vec<u8>, PlatformError> {
+    let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+    body.read_to_vec()
+        .map_err(|error| PlatformError::Unavailable(error.to_string()))
+}
+
+fn read_text(response: &mut Response<Body>) -> Result<String, PlatformError> {
+    let bytes = read_bytes(response)?;
+    String::from_utf8(bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+fn read_json<T: DeserializeOwned>(response: &mut Response<Body>) -> Result<T, PlatformError> {
+    let bytes = read_bytes(response)?;
+    serde_json::from_slice(&bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,41 @@
-//! Filled in by the next commits.
+//! The platform's table service and object store, and the one way in which a change of the lists
+//! is committed to them.
+//!
+//! Everything that must outlive a process is kept here. See `docs/design/platform.md` and
+//! `docs/design/commit.md`.
+
+mod change;
+mod change_record;
+mod commit;
+mod commit_error;
+mod commit_outcome;
+mod fake_counts;
+mod fake_faults;
+mod fake_platform;
+mod history;
+mod http_platform;
+mod platform;
+mod platform_error;
+mod row;
+mod row_condition;
+mod row_write;
+mod table_batch;
+
+pub use crate::{
+    change::Change,
+    change_record::ChangeRecord,
+    commit::commit,
+    commit_error::CommitError,
+    commit_outcome::CommitOutcome,
+    fake_counts::FakeCounts,
+    fake_faults::FakeFaults,
+    fake_platform::FakePlatform,
+    history::{read_change, read_head, read_lists, read_version, versions},
+    http_platform::HttpPlatform,
+    platform::Platform,
+    platform_error::PlatformError,
+    row::Row,
+    row_condition::RowCondition,
+    row_write::RowWrite,
+    table_batch::{BatchConflict, TableBatch},
+};
--- /dev/null
+++ b/crates/platform/src/platform_error.rs
@@ -0,0 +1,21 @@
+use displaydoc::Display;
+
+/// Why a call to the platform failed, and whether a write may have taken effect.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum PlatformError {
+    /// the condition on row `{key}` does not hold; nothing was written
+    Conflict {
+        /// The first row whose condition failed.
+        key: String,
+    },
+    /// the platform was given or answered something malformed: {0}
+    Malformed(String),
+    /// the outcome of the write is not known: {0}
+    OutcomeUnknown(String),
+    /// the platform refused the token; nothing was written
+    Unauthorized,
+    /// the platform is not available; nothing was written: {0}
+    Unavailable(String),
+}
+
+impl std::error::Error for PlatformError {}
