Decide on calls: gate queue, fate, choice, retry, claims, quarantine

Cause: the daemon's edges need the decisions on the way of a call. Change: the decision core, without sockets, threads or clocks. A gate owns its slots, a weighted fair queue and the fates of its calls; an entry owns the table of upstreams and the retry budget; claims are led by a state machine a try. Figures: the fate property was seen failing first: asked a second time about a call whose record was forgotten, the gate took the bar that the first question had left for a fence and said "not run" of a call that had run.

--- /dev/null
+++ b/crates/calls/src/claim_batch.rs
@@ -0,0 +1,121 @@
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use crate::{BatchEnd, CallSettings, ClaimCommit, ClaimResult, ClaimWrite, RefusalReason};
+
+/// How many full transactions of claims may wait.
+const WAITING_BATCHES: usize = 4;
+
+/// How long claims are refused at once after the store failed to take one.
+const STORE_DOWN: Duration = Duration::from_secs(1);
+
+/// Groups a gate's claims into transactions: one at a time, and at most one an interval.
+///
+/// A lone claim is written at once; under load those that arrive meanwhile share the next
+/// transaction, so a gate's writes are bounded whatever its calls.
+#[derive(Debug)]
+pub struct ClaimBatch {
+    down_until: Option<Instant>,
+    flying: Vec<ClaimWrite>,
+    interval: Duration,
+    next_start: Option<Instant>,
+    rows: usize,
+    waiting: VecDeque<ClaimWrite>,
+}
+
+impl ClaimBatch {
+    /// Makes an empty batch.
+    #[must_use]
+    pub fn new(settings: &CallSettings) -> Self {
+        Self {
+            down_until: None,
+            flying: Vec::new(),
+            interval: settings.claim_interval,
+            next_start: None,
+            rows: settings.claim_batch_rows.max(1),
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Adds a write to the next transaction.
+    ///
+    /// # Errors
+    ///
+    /// The store is down or too slow, so the request must be refused.
+    pub fn submit(&mut self, now: Instant, write: ClaimWrite) -> Result<(), RefusalReason> {
+        let is_down = self.down_until.is_some_and(|until| now < until);
+        if is_down || self.waiting.len() >= self.rows * WAITING_BATCHES {
+            return Err(RefusalReason::StoreDown);
+        }
+        self.waiting.push_back(write);
+        Ok(())
+    }
+
+    /// Returns the writes of the transaction to send now; [`ClaimBatch::finish`] follows.
+    pub fn start(&mut self, now: Instant) -> Option<&[ClaimWrite]> {
+        let due = self.next_start.is_none_or(|start| start <= now);
+        if !due || !self.flying.is_empty() || self.waiting.is_empty() {
+            return None;
+        }
+        let rows = self.rows.min(self.waiting.len());
+        self.flying = self.waiting.drain(..rows).collect();
+        self.next_start = Some(now + self.interval);
+        Some(&self.flying)
+    }
+
+    /// Takes in how the transaction ended, and returns how each try's claim did.
+    ///
+    /// After a conflict the writes that are not to blame go first into the next transaction.
+    pub fn finish(&mut self, now: Instant, end: &BatchEnd) -> Vec<ClaimResult> {
+        let flown = std::mem::take(&mut self.flying);
+        let commit = match end {
+            BatchEnd::Conflict(losers) => return self.part(flown, losers),
+            BatchEnd::Down => {
+                self.down_until = Some(now + STORE_DOWN);
+                ClaimCommit::Down
+            }
+            BatchEnd::Unknown => ClaimCommit::Unknown,
+            BatchEnd::Written => ClaimCommit::Written,
+        };
+        let mut ended: Vec<ClaimWrite> = flown;
+        if commit == ClaimCommit::Down {
+            ended.extend(self.waiting.drain(..));
+        }
+        ended.iter().map(|write| result(write, commit)).collect()
+    }
+
+    /// Returns when [`ClaimBatch::start`] is due.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        if self.waiting.is_empty() || !self.flying.is_empty() {
+            return None;
+        }
+        self.next_start
+    }
+
+    fn part(
+        &mut self,
+        flown: Vec<ClaimWrite>,
+        losers: &[medlarspool_types::CallId],
+    ) -> Vec<ClaimResult> {
+        let mut results = Vec::new();
+        for write in flown.into_iter().rev() {
+            if losers.is_empty() || losers.contains(&write.attempt()) {
+                results.push(result(&write, ClaimCommit::Conflict));
+            } else {
+                self.waiting.push_front(write);
+            }
+        }
+        results.reverse();
+        results
+    }
+}
+
+fn result(write: &ClaimWrite, commit: ClaimCommit) -> ClaimResult {
+    ClaimResult {
+        attempt: write.attempt(),
+        commit,
+    }
+}
--- /dev/null
+++ b/crates/calls/src/claim_policy.rs
@@ -0,0 +1,110 @@
+use std::time::SystemTime;
+
+use medlarspool_types::CallId;
+
+use crate::{
+    CallSettings, ClaimCommit, ClaimKey, ClaimRow, ClaimStep, ClaimWrite, Fate, RefusalReason,
+};
+
+/// Leads one try of a keyed request to its claim, or to the fate of the try that holds the key.
+///
+/// The try may run only after [`ClaimStep::Run`]; on every other end it is fenced first. See
+/// `docs/design/calls.md`.
+#[derive(Clone, Debug)]
+pub struct ClaimPolicy {
+    key: ClaimKey,
+    own: ClaimRow,
+    replaces: Option<CallId>,
+    tries_left: u32,
+}
+
+impl ClaimPolicy {
+    /// Makes the policy of a try, whose row would be `own`.
+    #[must_use]
+    pub fn new(settings: &CallSettings, key: ClaimKey, own: ClaimRow) -> Self {
+        Self {
+            key,
+            own,
+            replaces: None,
+            tries_left: settings.claim_tries,
+        }
+    }
+
+    /// Begins; a key past its lifetime or from the future is refused.
+    pub fn start<A>(&mut self, now: SystemTime, settings: &CallSettings) -> ClaimStep<A> {
+        let made = self.key.made();
+        let expired = made + settings.claim_lifetime <= now;
+        if expired || made > now + settings.clock_skew_limit {
+            return ClaimStep::Refuse(RefusalReason::KeyExpired);
+        }
+        self.write()
+    }
+
+    /// Takes in how the write ended.
+    pub fn on_commit<A>(&mut self, commit: ClaimCommit) -> ClaimStep<A> {
+        match commit {
+            ClaimCommit::Conflict | ClaimCommit::Unknown => ClaimStep::Read,
+            ClaimCommit::Down => ClaimStep::Refuse(RefusalReason::StoreDown),
+            ClaimCommit::Written => ClaimStep::Run,
+        }
+    }
+
+    /// Takes in the key's row, or that there is none.
+    ///
+    /// An absent row does not settle a write of unknown outcome, which may still take effect; but
+    /// whoever then finds it is told by this gate that the try did not run.
+    pub fn on_read<A>(&mut self, row: Option<ClaimRow>) -> ClaimStep<A> {
+        match row {
+            None => {
+                self.replaces = None;
+                self.write()
+            }
+            Some(row) if row.attempt == self.own.attempt => ClaimStep::Run,
+            Some(row) if row.fingerprint != self.own.fingerprint => {
+                ClaimStep::Refuse(RefusalReason::KeyConflict)
+            }
+            Some(row) => {
+                self.replaces = Some(row.attempt);
+                ClaimStep::AskOwner(row)
+            }
+        }
+    }
+
+    /// Takes in that the row could not be read.
+    #[must_use]
+    pub const fn on_read_failed<A>(&self) -> ClaimStep<A> {
+        ClaimStep::Refuse(RefusalReason::StoreDown)
+    }
+
+    /// Takes in the fate of the try that holds the key; a gate that can't be reached counts as
+    /// [`Fate::MayHaveRun`].
+    pub fn on_fate<A>(&mut self, holder: ClaimRow, fate: Fate<A>) -> ClaimStep<A> {
+        match fate {
+            Fate::NotRun => self.write(),
+            Fate::Underway => ClaimStep::Wait(holder),
+            Fate::NeverSeen => ClaimStep::Earlier(Fate::MayHaveRun),
+            Fate::AnswerGone | Fate::MayHaveRun | Fate::Ran(_) => ClaimStep::Earlier(fate),
+        }
+    }
+
+    /// Returns the write that gives the key back after this try was refused.
+    #[must_use]
+    pub fn release(&self) -> ClaimWrite {
+        ClaimWrite::Release {
+            attempt: self.own.attempt,
+            key: self.key.clone(),
+        }
+    }
+
+    fn write<A>(&mut self) -> ClaimStep<A> {
+        if self.tries_left == 0 {
+            return ClaimStep::Refuse(RefusalReason::StoreDown);
+        }
+        self.tries_left -= 1;
+        ClaimStep::Write(ClaimWrite::Claim {
+            key: self.key.clone(),
+            replaces: self.replaces,
+            row: self.own.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/calls/src/claim_row.rs
@@ -0,0 +1,50 @@
+use std::{fmt, str::FromStr};
+
+use medlarspool_types::{Address, CallId, Incarnation, InstanceId};
+
+use crate::{CallError, Fingerprint};
+
+/// The row that records which try holds an idempotency key, written before the try may run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimRow {
+    /// The try that holds the key.
+    pub attempt: CallId,
+    /// The request that the key was used with.
+    pub fingerprint: Fingerprint,
+    /// The instance whose gate took the try.
+    pub gate: InstanceId,
+    /// Where that gate is asked for the try's fate.
+    pub gate_address: Address,
+    /// The life of that gate's process.
+    pub gate_life: Incarnation,
+}
+
+impl fmt::Display for ClaimRow {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} {} {} {} {}",
+            self.attempt, self.fingerprint, self.gate, self.gate_address, self.gate_life
+        )
+    }
+}
+
+impl FromStr for ClaimRow {
+    type Err = CallError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse(text).ok_or_else(|| CallError::ClaimRow(text.into()))
+    }
+}
+
+fn parse(text: &str) -> Option<ClaimRow> {
+    let mut fields = text.split(' ');
+    let row = ClaimRow {
+        attempt: CallId(u128::from_str_radix(fields.next()?, 16).ok()?),
+        fingerprint: Fingerprint(u128::from_str_radix(fields.next()?, 16).ok()?),
+        gate: fields.next()?.parse().ok()?,
+        gate_address: fields.next()?.parse().ok()?,
+        gate_life: Incarnation(fields.next()?.parse().ok()?),
+    };
+    fields.next().is_none().then_some(row)
+}
--- /dev/null
+++ b/crates/calls/src/failed_try.rs
@@ -0,0 +1,27 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_types::Verdict;
+
+use crate::Idempotency;
+
+/// A try that brought no answer, as the retry decision sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedTry {
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// The time that one more try is expected to take.
+    pub expected: Duration,
+    /// Whether a second run does no harm.
+    pub idempotency: Idempotency,
+    /// Whether another upstream may take the request; see [`crate::RefusalReason::is_local`].
+    pub other_upstream_may: bool,
+    /// How long the gate asked to stay away, if it answered.
+    pub retry_after: Option<Duration>,
+    /// The retries after "may have run" that the request still has; see
+    /// [`crate::RequestContext::retries_left`].
+    pub retries_left: u32,
+    /// How many tries were made at this hop, with this one.
+    pub tries: u32,
+    /// What is known of this try; "may have run" also stands for all tries before it.
+    pub verdict: Verdict,
+}
--- /dev/null
+++ b/crates/calls/src/fate.rs
@@ -0,0 +1,30 @@
+use medlarspool_types::Verdict;
+
+/// What a gate knows of a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Fate<A> {
+    /// It ran, but its answer is no longer kept.
+    AnswerGone,
+    /// It ran or runs without a known end, or the gate can't know.
+    MayHaveRun,
+    /// The gate has no record; [`crate::FateReply::settle`] says whether that means "not run".
+    NeverSeen,
+    /// It did not run and never will.
+    NotRun,
+    /// It ran and this is its answer.
+    Ran(A),
+    /// It waits or runs; ask again or wait for its end.
+    Underway,
+}
+
+impl<A> Fate<A> {
+    /// Returns the verdict that a caller is told if nothing more becomes known.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::AnswerGone | Self::Ran(_) => Verdict::Ran,
+            Self::MayHaveRun | Self::NeverSeen | Self::Underway => Verdict::MayHaveRun,
+            Self::NotRun => Verdict::NotRun,
+        }
+    }
+}
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -1,1 +1,77 @@
-//! Filled in by the next commits.
+//! The decisions on the way of a call: admission, choice, queue, retry, fate, claim, quarantine.
+//!
+//! Nothing here opens a socket, starts a thread or reads a clock: each decision takes `now` and,
+//! where it draws lots, a seeded generator. See `docs/design/calls.md`.
+
+mod announced_upstream;
+mod arrival;
+mod batch_end;
+mod call_error;
+mod call_outcome;
+mod call_settings;
+mod channel_id;
+mod choice;
+mod claim_batch;
+mod claim_commit;
+mod claim_key;
+mod claim_policy;
+mod claim_result;
+mod claim_row;
+mod claim_step;
+mod claim_sweep;
+mod claim_write;
+mod crash_id;
+mod crash_publication;
+mod decision;
+mod decision_log;
+mod decision_reason;
+mod ejection;
+mod failed_try;
+mod fair_queue;
+mod fate;
+mod fate_question;
+mod fate_reply;
+mod fate_table;
+mod fingerprint;
+mod gate;
+mod gate_action;
+mod gate_work;
+mod give_up_reason;
+mod idempotency;
+mod load_report;
+mod quarantine;
+mod quarantine_check;
+mod quarantine_notice;
+mod question_kind;
+mod refusal;
+mod refusal_reason;
+mod request_context;
+mod retry_budget;
+mod retry_decision;
+mod retry_policy;
+mod run_end;
+mod service_time;
+mod slot;
+mod upstream;
+mod upstream_pool;
+mod upstream_standing;
+mod upstream_table;
+
+pub use crate::{
+    announced_upstream::AnnouncedUpstream, arrival::Arrival, batch_end::BatchEnd,
+    call_error::CallError, call_outcome::CallOutcome, call_settings::CallSettings,
+    channel_id::ChannelId, choice::Choice, claim_batch::ClaimBatch, claim_commit::ClaimCommit,
+    claim_key::ClaimKey, claim_policy::ClaimPolicy, claim_result::ClaimResult, claim_row::ClaimRow,
+    claim_step::ClaimStep, claim_sweep::ClaimSweep, claim_write::ClaimWrite, crash_id::CrashId,
+    crash_publication::CrashPublication, decision::Decision, decision_log::DecisionLog,
+    decision_reason::DecisionReason, ejection::Ejection, failed_try::FailedTry,
+    fair_queue::FairQueue, fate::Fate, fate_question::FateQuestion, fate_reply::FateReply,
+    fate_table::FateTable, fingerprint::Fingerprint, gate::Gate, gate_action::GateAction,
+    gate_work::GateWork, give_up_reason::GiveUpReason, idempotency::Idempotency,
+    load_report::LoadReport, quarantine::Quarantine, quarantine_check::QuarantineCheck,
+    quarantine_notice::QuarantineNotice, question_kind::QuestionKind, refusal::Refusal,
+    refusal_reason::RefusalReason, request_context::RequestContext, retry_budget::RetryBudget,
+    retry_decision::RetryDecision, retry_policy::RetryPolicy, run_end::RunEnd,
+    service_time::ServiceTime, slot::Slot, upstream::Upstream, upstream_pool::UpstreamPool,
+    upstream_standing::UpstreamStanding, upstream_table::UpstreamTable,
+};
--- /dev/null
+++ b/crates/calls/src/quarantine.rs
@@ -0,0 +1,210 @@
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use medlarspool_types::InstanceId;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{CallSettings, CrashId, Fingerprint, QuarantineCheck, QuarantineNotice};
+
+/// After how many crashes a request is refused.
+const CRASHES_TO_REFUSE: usize = 2;
+
+/// A gate's memory of the requests that were running when an upstream of its service crashed.
+///
+/// A request with one crash is a suspect: only one gate runs it, the one that saw the crash, and one
+/// suspect at a time. So a second crash names the culprit, and an innocent one is cleared by its
+/// first answer. A request with two crashes is refused until the evidence ends. A crash is told to
+/// the service's other gates before the failure is answered; see [`crate::CrashPublication`].
+#[derive(Debug)]
+pub struct Quarantine {
+    evidence: HashMap<Fingerprint, Vec<Evidence>>,
+    order: VecDeque<Fingerprint>,
+    own: InstanceId,
+    settings: CallSettings,
+    suspect_running: Option<Fingerprint>,
+}
+
+#[derive(Clone, Debug)]
+struct Evidence {
+    crash: CrashId,
+    until: Instant,
+}
+
+impl Quarantine {
+    /// Makes the empty memory of the gate on instance `own`.
+    #[must_use]
+    pub fn new(settings: &CallSettings, own: InstanceId) -> Self {
+        Self {
+            evidence: HashMap::new(),
+            order: VecDeque::new(),
+            own,
+            settings: settings.clone(),
+            suspect_running: None,
+        }
+    }
+
+    /// Decides whether this gate may run a request now.
+    ///
+    /// `gates` are the instances of the service that are alive, this one among them. If the gate
+    /// that saw the crash is gone, all gates name the same other one by a hash.
+    #[must_use]
+    pub fn check(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        gates: &[InstanceId],
+    ) -> QuarantineCheck {
+        let crashes = self.crashes(now, fingerprint);
+        let Some(first) = crashes.first() else {
+            return QuarantineCheck::Admit;
+        };
+        if crashes.len() >= CRASHES_TO_REFUSE {
+            let last = crashes.iter().map(|evidence| evidence.until).max();
+            let retry_after = last.map_or(Duration::ZERO, |until| until - now);
+            return QuarantineCheck::Refuse { retry_after };
+        }
+        match home(&first.crash.instance, fingerprint, gates) {
+            Some(home) if *home != self.own => QuarantineCheck::Elsewhere(home.clone()),
+            _ if self.suspect_running.is_some() => QuarantineCheck::Busy,
+            _ => QuarantineCheck::AdmitAlone,
+        }
+    }
+
+    /// Records that a request starts after [`QuarantineCheck::AdmitAlone`].
+    pub fn start_alone(&mut self, fingerprint: Fingerprint) {
+        self.suspect_running = Some(fingerprint);
+    }
+
+    /// Records that a request's run ended. An answer clears it, and the notice tells others.
+    pub fn end(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        answered: bool,
+    ) -> Option<QuarantineNotice> {
+        if self.suspect_running == Some(fingerprint) {
+            self.suspect_running = None;
+        }
+        let crashes = self.crashes(now, fingerprint);
+        if !answered || crashes.is_empty() || crashes.len() >= CRASHES_TO_REFUSE {
+            return None;
+        }
+        let crashes = crashes.into_iter().map(|found| found.crash).collect();
+        self.remove(fingerprint);
+        Some(QuarantineNotice::Cleared {
+            crashes,
+            fingerprint,
+        })
+    }
+
+    /// Records that the upstream of `crash` crashed while it ran these requests.
+    ///
+    /// If it ran suspects, they alone are blamed. Publish the notice before any of the requests is
+    /// answered.
+    pub fn crashed(
+        &mut self,
+        now: Instant,
+        crash: CrashId,
+        running: &[Fingerprint],
+    ) -> QuarantineNotice {
+        let is_suspect = |fingerprint: &&Fingerprint| !self.crashes(now, **fingerprint).is_empty();
+        let mut fingerprints: Vec<Fingerprint> =
+            running.iter().filter(is_suspect).copied().collect();
+        if fingerprints.is_empty() {
+            fingerprints = running.to_vec();
+        }
+        let notice = QuarantineNotice::Crashed {
+            crash,
+            fingerprints,
+        };
+        self.receive(now, &notice);
+        notice
+    }
+
+    /// Takes in a notice of another gate. It may arrive twice or late.
+    pub fn receive(&mut self, now: Instant, notice: &QuarantineNotice) {
+        match notice {
+            QuarantineNotice::Cleared {
+                crashes,
+                fingerprint,
+            } => {
+                if let Some(found) = self.evidence.get_mut(fingerprint) {
+                    found.retain(|evidence| !crashes.contains(&evidence.crash));
+                    if found.is_empty() {
+                        self.remove(*fingerprint);
+                    }
+                }
+            }
+            QuarantineNotice::Crashed {
+                crash,
+                fingerprints,
+            } => {
+                for fingerprint in fingerprints {
+                    self.add(now, *fingerprint, crash);
+                }
+            }
+        }
+    }
+
+    /// Returns the number of requests with evidence.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.evidence.len()
+    }
+
+    /// Returns whether there is no evidence.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.evidence.is_empty()
+    }
+
+    fn add(&mut self, now: Instant, fingerprint: Fingerprint, crash: &CrashId) {
+        let until = now + self.settings.crash_remembered;
+        if !self.evidence.contains_key(&fingerprint) {
+            self.order.push_back(fingerprint);
+        }
+        let found = self.evidence.entry(fingerprint).or_default();
+        found.retain(|evidence| evidence.until > now);
+        if found.len() < CRASHES_TO_REFUSE && found.iter().all(|known| known.crash != *crash) {
+            found.push(Evidence {
+                crash: crash.clone(),
+                until,
+            });
+        }
+        while self.order.len() > self.settings.crashes_remembered {
+            if let Some(oldest) = self.order.pop_front() {
+                self.evidence.remove(&oldest);
+            }
+        }
+    }
+
+    fn remove(&mut self, fingerprint: Fingerprint) {
+        self.evidence.remove(&fingerprint);
+        self.order.retain(|other| *other != fingerprint);
+    }
+
+    fn crashes(&self, now: Instant, fingerprint: Fingerprint) -> Vec<Evidence> {
+        let found = self.evidence.get(&fingerprint).into_iter().flatten();
+        found
+            .filter(|evidence| evidence.until > now)
+            .cloned()
+            .collect()
+    }
+}
+
+/// The only gate that runs a suspect.
+fn home<'a>(
+    crashed: &InstanceId,
+    fingerprint: Fingerprint,
+    gates: &'a [InstanceId],
+) -> Option<&'a InstanceId> {
+    if let Some(home) = gates.iter().find(|gate| *gate == crashed) {
+        return Some(home);
+    }
+    gates.iter().max_by_key(|gate| {
+        let name = format!("{fingerprint} {gate}");
+        xxh3_64(name.as_bytes())
+    })
+}
--- /dev/null
+++ b/crates/calls/src/refusal_reason.rs
@@ -0,0 +1,54 @@
+use displaydoc::Display;
+
+/// Why a request was refused without a run.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RefusalReason {
+    /// the caller went away before the request started
+    Cancelled,
+    /// the channel that brought the request is closed
+    ChannelClosed,
+    /// the deadline would pass before an answer
+    DeadlineUnmeetable,
+    /// the queue was full and another customer had less of it
+    Displaced,
+    /// the gate takes no new work
+    Draining,
+    /// the request was fenced before it arrived
+    Fenced,
+    /// the idempotency key was used with another request
+    KeyConflict,
+    /// the idempotency key is past its lifetime or ahead of its time
+    KeyExpired,
+    /// the request crashed two upstreams
+    Quarantined,
+    /// the queue is full
+    QueueFull,
+    /// the store can't record the idempotency key now
+    StoreDown,
+    /// a suspected crasher is only run by the gate that saw its crash, one at a time
+    Suspected,
+    /// the upstream can't be connected to
+    UpstreamDown,
+}
+
+impl RefusalReason {
+    /// Returns whether another upstream of the service may take the request.
+    #[must_use]
+    pub const fn is_local(self) -> bool {
+        match self {
+            Self::ChannelClosed
+            | Self::DeadlineUnmeetable
+            | Self::Displaced
+            | Self::Draining
+            | Self::Fenced
+            | Self::QueueFull
+            | Self::UpstreamDown => true,
+            Self::Cancelled
+            | Self::KeyConflict
+            | Self::KeyExpired
+            | Self::Quarantined
+            | Self::StoreDown
+            | Self::Suspected => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/calls/src/request_context.rs
@@ -0,0 +1,93 @@
+use std::{fmt, str::FromStr, time::Duration};
+
+use medlarspool_types::{CallId, ConfigVersion};
+
+use crate::CallError;
+
+/// The deepest chain of calls that is served; a deeper one is taken for a loop.
+const MAX_DEPTH: u8 = 16;
+
+/// What travels with a request from hop to hop, also through the upstreams' own code.
+///
+/// It is one header of the form `deadline-ms;depth;retries;version;parent`. Times are relative, so
+/// no two clocks are compared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestContext {
+    /// How many calls led here; 0 at the entry that the caller outside reached.
+    pub depth: u8,
+    /// The call in whose run this one was made.
+    pub parent: Option<CallId>,
+    /// The time left until the first caller stops waiting.
+    pub remaining: Duration,
+    /// How many retries after "may have run" are left to this hop and those below it.
+    pub retries_left: u32,
+    /// The configuration version by which the request was admitted.
+    pub version: ConfigVersion,
+}
+
+impl RequestContext {
+    /// The name of the header that carries it.
+    pub const HEADER: &str = "medlarspool-context";
+
+    /// Returns the context for the call made at this hop, `elapsed` after this one was measured.
+    #[must_use]
+    pub fn next_hop(&self, call: CallId, elapsed: Duration) -> Self {
+        Self {
+            depth: self.depth.saturating_add(1),
+            parent: Some(call),
+            remaining: self.remaining.saturating_sub(elapsed),
+            ..*self
+        }
+    }
+
+    /// Returns whether the chain is deeper than any that is served.
+    #[must_use]
+    pub const fn is_too_deep(&self) -> bool {
+        self.depth > MAX_DEPTH
+    }
+}
+
+impl fmt::Display for RequestContext {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let remaining_ms = self.remaining.as_millis();
+        write!(
+            formatter,
+            "{remaining_ms};{};{};{};",
+            self.depth, self.retries_left, self.version
+        )?;
+        match self.parent {
+            Some(parent) => parent.fmt(formatter),
+            None => Ok(()),
+        }
+    }
+}
+
+impl FromStr for RequestContext {
+    type Err = CallError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse(text).ok_or_else(|| CallError::Context(text.into()))
+    }
+}
+
+fn parse(text: &str) -> Option<RequestContext> {
+    let mut fields = text.trim().split(';');
+    let remaining_ms = fields.next()?.parse().ok()?;
+    let depth = fields.next()?.parse().ok()?;
+    let retries_left = fields.next()?.parse().ok()?;
+    let version = fields.next()?.parse().ok()?;
+    let parent = match fields.next()? {
+        "" => None,
+        id => Some(CallId(u128::from_str_radix(id, 16).ok()?)),
+    };
+    if fields.next().is_some() {
+        return None;
+    }
+    Some(RequestContext {
+        depth,
+        parent,
+        remaining: Duration::from_millis(remaining_ms),
+        retries_left,
+        version: ConfigVersion(version),
+    })
+}
--- /dev/null
+++ b/crates/calls/src/upstream.rs
@@ -0,0 +1,170 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_types::InstanceId;
+
+use crate::{
+    AnnouncedUpstream, CallOutcome, CallSettings, Ejection, LoadReport, ServiceTime,
+    UpstreamStanding,
+};
+
+/// The share of calls that an upstream gets when it has just come up.
+const RAMP_START: f64 = 0.1;
+
+/// What an entry knows of one upstream: what it was told and what it measured itself.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    added: Instant,
+    announced: AnnouncedUpstream,
+    call_time: ServiceTime,
+    ejection: Ejection,
+    is_local: bool,
+    outstanding: u32,
+    report: LoadReport,
+    reported: Instant,
+    sent_since_report: u32,
+    standing: UpstreamStanding,
+}
+
+impl Upstream {
+    /// Takes in an upstream that is announced for the first time.
+    #[must_use]
+    pub fn new(now: Instant, announced: AnnouncedUpstream, is_local: bool) -> Self {
+        Self {
+            added: now,
+            announced,
+            call_time: ServiceTime::default(),
+            ejection: Ejection::default(),
+            is_local,
+            outstanding: 0,
+            report: LoadReport::default(),
+            reported: now,
+            sent_since_report: 0,
+            standing: UpstreamStanding::default(),
+        }
+    }
+
+    /// Returns what was announced.
+    #[must_use]
+    pub const fn announced(&self) -> &AnnouncedUpstream {
+        &self.announced
+    }
+
+    /// Returns the instance.
+    #[must_use]
+    pub const fn instance(&self) -> &InstanceId {
+        &self.announced.instance
+    }
+
+    /// Returns whether it stands in the entry's availability zone.
+    #[must_use]
+    pub const fn is_local(&self) -> bool {
+        self.is_local
+    }
+
+    /// Returns the number of this entry's calls that it has not answered.
+    #[must_use]
+    pub const fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Returns whether it is ejected on own evidence.
+    #[must_use]
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejection.is_ejected(now)
+    }
+
+    /// Returns whether it may be given a call.
+    #[must_use]
+    pub fn is_eligible(&self, now: Instant) -> bool {
+        self.standing == UpstreamStanding::Alive
+            && !self.ejection.is_ejected(now)
+            && (self.outstanding == 0 || !self.ejection.is_on_trial(now))
+    }
+
+    /// Returns the time until an answer that a call given now may expect.
+    ///
+    /// It is the larger of what the reported load implies and what own calls took, so that neither
+    /// a false report nor a stale one is believed alone. `typical` is the service's mean.
+    #[must_use]
+    pub fn expected(&self, now: Instant, settings: &CallSettings, typical: Duration) -> Duration {
+        let age = now.saturating_duration_since(self.reported).as_secs_f64();
+        let fresh = (-age / settings.load_half_life.as_secs_f64()).exp2();
+        let reported = f64::from(self.report.slots_in_use + self.report.queued) * fresh;
+        let backlog = (reported + f64::from(self.sent_since_report)).max(self.outstanding.into());
+        let slots = f64::from(self.announced.slots.max(1));
+        let turns = 1.0 + ((backlog + 1.0 - slots) / slots).max(0.0);
+        let run = match self.report.run_time {
+            Duration::ZERO => typical,
+            run_time => run_time,
+        };
+        let told = run.mul_f64(turns);
+        let measured = self.measured(now, settings, typical);
+        told.max(measured).div_f64(self.ramp(now, settings))
+    }
+
+    /// Counts a call given to it.
+    pub fn send(&mut self) {
+        self.outstanding += 1;
+        self.sent_since_report += 1;
+    }
+
+    /// Takes in how a call ended and the load report that came with it.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        outcome: CallOutcome,
+        report: Option<LoadReport>,
+        settings: &CallSettings,
+        may_eject: bool,
+    ) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        if let Some(report) = report {
+            self.report = report;
+            self.reported = now;
+            self.sent_since_report = 0;
+        }
+        match outcome {
+            CallOutcome::Answered { elapsed } | CallOutcome::TimedOut { elapsed } => {
+                self.call_time.record(now, elapsed);
+            }
+            _ => {}
+        }
+        if outcome.is_failure() {
+            self.ejection.fail(now, settings, may_eject);
+        } else if matches!(outcome, CallOutcome::Answered { .. }) {
+            self.ejection.succeed();
+        }
+    }
+
+    pub(crate) fn announce(&mut self, announced: AnnouncedUpstream) {
+        self.announced = announced;
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.standing == UpstreamStanding::Leaving
+    }
+
+    pub(crate) fn set_standing(&mut self, standing: UpstreamStanding) {
+        self.standing = standing;
+    }
+
+    /// The mean of own calls; without new ones it tends to the service's mean, so that an upstream
+    /// that was slow once is tried again.
+    fn measured(&self, now: Instant, settings: &CallSettings, typical: Duration) -> Duration {
+        let mean = self.call_time.mean();
+        let half_life = settings.load_half_life;
+        let excess = self
+            .call_time
+            .aged(now, half_life)
+            .saturating_sub(typical.min(mean));
+        mean.min(typical) + excess
+    }
+
+    fn ramp(&self, now: Instant, settings: &CallSettings) -> f64 {
+        if settings.ramp.is_zero() {
+            return 1.0;
+        }
+        let up = now.saturating_duration_since(self.added).as_secs_f64();
+        (up / settings.ramp.as_secs_f64()).clamp(RAMP_START, 1.0)
+    }
+}
--- /dev/null
+++ b/crates/calls/tests/gate.rs
@@ -0,0 +1,254 @@
+//! The gate's queue: slots, fairness, shedding, drain and cancellation.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use medlarspool_calls::{
+    CallSettings, ChannelId, Gate, GateAction, GateWork, RefusalReason, RunEnd,
+};
+use medlarspool_types::{CallId, Incarnation};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const RUN: Duration = Duration::from_millis(10);
+
+struct Bench {
+    actions: Vec<GateAction>,
+    channel: ChannelId,
+    gate: Gate<u32>,
+    next_call: u128,
+    now: Instant,
+}
+
+impl Bench {
+    fn new(slots: u32, queue_requests: usize) -> Self {
+        let settings = CallSettings {
+            queue_requests,
+            ..CallSettings::default()
+        };
+        let now = Instant::now();
+        let mut gate = Gate::new(&settings, slots, Incarnation(1), now);
+        let channel = gate.open_channel();
+        Self {
+            actions: Vec::new(),
+            channel,
+            gate,
+            next_call: 0,
+            now,
+        }
+    }
+
+    fn offer(&mut self, customer: &str, weight: u32, patience: Duration) -> CallId {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let work = GateWork {
+            call,
+            customer: customer.parse().unwrap(),
+            deadline: self.now + patience,
+            weight,
+        };
+        let channel = self.channel;
+        self.gate.offer(self.now, work, channel, &mut self.actions);
+        call
+    }
+
+    fn started(&mut self) -> Vec<CallId> {
+        let started = self.actions.iter().filter_map(|action| match action {
+            GateAction::Start { call } => Some(*call),
+            _ => None,
+        });
+        let started = started.collect();
+        self.actions.clear();
+        started
+    }
+
+    fn finish(&mut self, call: CallId) {
+        let end = RunEnd::Answered {
+            answer: 0,
+            answer_bytes: 1,
+        };
+        self.gate.finish(self.now, call, end, &mut self.actions);
+    }
+
+    /// Runs what is queued, one after the other, and returns the order.
+    fn run_out(&mut self) -> Vec<CallId> {
+        let mut order = Vec::new();
+        let mut running = self.started();
+        while let Some(call) = running.pop() {
+            order.push(call);
+            self.now += RUN;
+            self.finish(call);
+            running.extend(self.started());
+        }
+        order
+    }
+
+    fn refusals(&self) -> Vec<(CallId, RefusalReason)> {
+        let refused = self.actions.iter().filter_map(|action| match action {
+            GateAction::Refuse { call, refusal } => Some((*call, refusal.reason)),
+            _ => None,
+        });
+        refused.collect()
+    }
+}
+
+/// Of 20 served, the flood gets at most its share by weight, rounded up.
+#[rstest]
+#[case::equal_weights(1, 1, 10)]
+#[case::double_weight(2, 1, 14)]
+#[case::quadruple_weight(4, 1, 16)]
+fn a_flood_leaves_others_their_share(#[case] flood: u32, #[case] quiet: u32, #[case] most: usize) {
+    let mut bench = Bench::new(1, 100);
+    let flooding: BTreeSet<CallId> = (0..40)
+        .map(|_| bench.offer("flood", flood, Duration::from_mins(1)))
+        .collect();
+    for _ in 0..10 {
+        bench.offer("quiet", quiet, Duration::from_mins(1));
+    }
+    let order = bench.run_out();
+    assert_eq!(order.len(), 50);
+    let first = order.iter().skip(1).take(20);
+    let of_flood = first.filter(|call| flooding.contains(call)).count();
+    assert!(of_flood <= most, "{of_flood} of the first 20");
+}
+
+#[test]
+fn a_full_queue_displaces_the_largest_backlog() {
+    let mut bench = Bench::new(1, 4);
+    for _ in 0..5 {
+        bench.offer("flood", 1, Duration::from_mins(1));
+    }
+    let quiet = bench.offer("quiet", 1, Duration::from_mins(1));
+    let last_of_flood = CallId(4);
+    assert_eq!(
+        bench.refusals(),
+        [(last_of_flood, RefusalReason::Displaced)]
+    );
+    let refused = bench.offer("flood", 1, Duration::from_mins(1));
+    assert_eq!(bench.refusals()[1..], [(refused, RefusalReason::QueueFull)]);
+    assert!(bench.run_out().contains(&quiet));
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_at_once() {
+    let mut bench = Bench::new(1, 100);
+    bench.offer("a", 1, Duration::from_mins(1));
+    bench.run_out();
+    for _ in 0..6 {
+        bench.offer("a", 1, Duration::from_mins(1));
+    }
+    let hopeless = bench.offer("a", 1, RUN * 3);
+    assert_eq!(
+        bench.refusals(),
+        [(hopeless, RefusalReason::DeadlineUnmeetable)]
+    );
+}
+
+#[test]
+fn a_drain_refuses_new_work_and_finishes_the_rest() {
+    let mut bench = Bench::new(1, 100);
+    bench.offer("a", 1, Duration::from_mins(1));
+    bench.offer("a", 1, Duration::from_mins(1));
+    bench.gate.drain();
+    let late = bench.offer("a", 1, Duration::from_mins(1));
+    assert_eq!(bench.refusals(), [(late, RefusalReason::Draining)]);
+    assert!(!bench.gate.is_drained());
+    assert_eq!(bench.run_out().len(), 2);
+    assert!(bench.gate.is_drained());
+}
+
+#[test]
+fn a_cancelled_request_never_starts() {
+    let mut bench = Bench::new(1, 100);
+    let running = bench.offer("a", 1, Duration::from_mins(1));
+    let waiting = bench.offer("a", 1, Duration::from_mins(1));
+    assert!(bench.gate.cancel(waiting));
+    assert!(!bench.gate.cancel(running));
+    assert_eq!(bench.run_out(), [running]);
+}
+
+#[test]
+fn a_stale_run_time_does_not_refuse_for_ever() {
+    let mut bench = Bench::new(1, 100);
+    let slow = bench.offer("a", 1, Duration::from_mins(1));
+    bench.actions.clear();
+    bench.now += Duration::from_secs(5);
+    bench.finish(slow);
+    let tried = bench.offer("a", 1, Duration::from_secs(1));
+    assert_eq!(bench.started(), [tried]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u64),
+    Cancel(usize),
+    Finish(usize),
+    Offer { customer: u8, patience_ms: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        2 => (1_u64..20).prop_map(Step::Advance),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        4 => any::<usize>().prop_map(Step::Finish),
+        6 => (0_u8..4, 1_u64..200)
+            .prop_map(|(customer, patience_ms)| Step::Offer { customer, patience_ms }),
+    ];
+    proptest::collection::vec(step, 1..200)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Each call ends exactly once, refused ones never start, and no bound is passed.
+    #[test]
+    fn each_call_starts_or_is_refused_once(steps in steps()) {
+        const SLOTS: usize = 3;
+        const QUEUE: usize = 5;
+        let mut bench = Bench::new(3, QUEUE);
+        let mut ends: BTreeMap<CallId, u32> = BTreeMap::new();
+        let mut running: Vec<CallId> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Advance(ms) => {
+                    bench.now += Duration::from_millis(ms);
+                    bench.gate.wake(bench.now, &mut bench.actions);
+                }
+                Step::Cancel(pick) => {
+                    let call = CallId(pick as u128 % bench.next_call.max(1));
+                    if bench.gate.cancel(call) {
+                        *ends.entry(call).or_default() += 1;
+                    }
+                }
+                Step::Finish(pick) if !running.is_empty() => {
+                    let call = running.swap_remove(pick % running.len());
+                    bench.finish(call);
+                }
+                Step::Finish(_) => {}
+                Step::Offer { customer, patience_ms } => {
+                    bench.offer(&format!("c{customer}"), 1, Duration::from_millis(patience_ms));
+                }
+            }
+            for action in std::mem::take(&mut bench.actions) {
+                let call = match action {
+                    GateAction::Refuse { call, .. } => call,
+                    GateAction::Repeated { .. } => panic!("no call was repeated"),
+                    GateAction::Start { call } => {
+                        running.push(call);
+                        call
+                    }
+                };
+                *ends.entry(call).or_default() += 1;
+            }
+            prop_assert!(running.len() <= SLOTS);
+            let load = bench.gate.load(bench.now);
+            prop_assert_eq!(load.slots_in_use as usize, running.len());
+            prop_assert!(load.queued as usize <= QUEUE);
+            prop_assert!(load.queued == 0 || running.len() == SLOTS);
+            prop_assert!(ends.values().all(|&count| count == 1));
+            prop_assert_eq!(ends.len() + load.queued as usize, usize::try_from(bench.next_call).unwrap());
+        }
+    }
+}
