--- a/crates/bench/tests/stand_in_platform.rs
+++ b/crates/bench/tests/stand_in_platform.rs
@@ -42,6 +42,70 @@
     assert_eq!(client.row("a/3"), Ok(None));
 }
 
+#[test]
+fn a_single_row_is_written_under_its_condition() {
+    let (_server, client) = start(&FakePlatform::default());
+    client.transact(&[insert("a")]).expect("new row");
+    let conflict = Err(PlatformError::Conflict { key: "a".into() });
+    assert_eq!(client.transact(&[insert("a")]), conflict);
+    let etag = client.row("a").expect("read").expect("row").etag;
+    let write = |condition, value: Option<&str>| RowWrite {
+        condition,
+        key: "a".into(),
+        value: value.map(Into::into),
+    };
+    let stale = write(RowCondition::Matches(etag + 1), Some("no"));
+    assert_eq!(client.transact(&[stale]), conflict);
+    let fresh = write(RowCondition::Matches(etag), Some("yes"));
+    client.transact(&[fresh]).expect("fresh etag");
+    let remove = write(RowCondition::Any, None);
+    client.transact(&[remove]).expect("removal");
+    assert_eq!(client.row("a"), Ok(None));
+}
+
+#[test]
+fn a_wrong_token_is_refused() {
+    let (server, _client) = start(&FakePlatform::default());
+    let client = HttpPlatform::new(server.address(), "wrong", Duration::from_secs(5));
+    assert_eq!(client.row("a"), Err(PlatformError::Unauthorized));
+    let refused = client.transact(&[insert("a")]);
+    assert_eq!(refused, Err(PlatformError::Unauthorized));
+}
+
+#[test]
+fn a_slow_write_has_an_unknown_outcome_and_a_slow_read_has_none() {
+    let fake = FakePlatform::default();
+    let (server, _client) = start(&fake);
+    let hasty = HttpPlatform::new(server.address(), TOKEN, Duration::from_millis(100));
+    fake.set_faults(FakeFaults {
+        delay_ms: Duration::from_secs(1),
+        ..FakeFaults::default()
+    });
+    let write = hasty.transact(&[insert("a")]);
+    assert!(matches!(write, Err(PlatformError::OutcomeUnknown(_))));
+    let read = hasty.row("a");
+    assert!(matches!(read, Err(PlatformError::Unavailable(_))));
+}
+
+#[test]
+fn a_platform_that_nobody_listens_for_is_not_written_to() {
+    let (server, client) = start(&FakePlatform::default());
+    drop(server);
+    let write = client.transact(&[insert("a")]);
+    assert!(
+        matches!(write, Err(PlatformError::Unavailable(_))),
+        "{write:?}"
+    );
+}
+
+#[test]
+fn a_key_that_needs_escaping_is_refused() {
+    let (_server, client) = start(&FakePlatform::default());
+    let refused = client.transact(&[insert("a?b")]);
+    let expected = PlatformError::Malformed("key `a?b`".into());
+    assert_eq!(refused, Err(expected));
+}
+
 #[test]
 fn faults_reach_the_client() {
     let fake = FakePlatform::default();
--- a/crates/command/src/command_error.rs
+++ b/crates/command/src/command_error.rs
@@ -37,8 +37,16 @@
         match self {
             Self::Commit(CommitError::OutcomeUnknown { .. }) => 5,
             Self::Commit(CommitError::Platform(_)) | Self::Platform(_) => 4,
-            Self::Commit(CommitError::Conflict { .. } | CommitError::TooManyRaces { .. }) => 6,
-            Self::Commit(CommitError::Invalid(_) | CommitError::UnknownVersion(_))
+            Self::Commit(
+                CommitError::Clash { .. }
+                | CommitError::Conflict { .. }
+                | CommitError::TooManyRaces { .. },
+            ) => 6,
+            Self::Commit(
+                CommitError::Invalid(_)
+                | CommitError::UnknownVersion(_)
+                | CommitError::Withdrawn(_),
+            )
             | Self::Config(_) => 3,
             Self::File { .. } | Self::NoBase { .. } | Self::Usage(_) => 2,
             Self::Output(_) => 1,
--- a/crates/command/src/put.rs
+++ b/crates/command/src/put.rs
@@ -34,10 +34,12 @@
     let asked_at_ms = epoch_ms();
     let drawn = format!("{asked_at_ms}-{}", std::process::id());
     let drawn: ChangeId = drawn.parse().map_err(|_| CommandError::Usage(drawn))?;
+    let resumed: Option<ChangeId> = arguments.parsed("change")?;
     let change = Change {
         asked_at_ms,
         base,
-        id: arguments.parsed("change")?.unwrap_or(drawn),
+        sent_before: resumed.is_some(),
+        id: resumed.unwrap_or(drawn),
         lists,
         operator: std::env::var("USER").unwrap_or_default(),
     };
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,13 +1,9 @@
 //! The checks that lists pass before they are accepted and before they are routed by.
 
-use std::{
-    collections::{HashMap, HashSet},
-    fmt::Display,
-    hash::Hash,
-};
+use std::{collections::HashMap, fmt::Display, hash::Hash};
 
 use crate::{
-    ConfigError, Lists,
+    ConfigError, EntryKey, Lists, PlanEntry,
     documents::{CUSTOMERS_LIST, CustomersDocument, PLANS_LIST, PlansDocument, field_error},
     limits,
 };
@@ -61,7 +57,10 @@
 
 fn check_services(lists: &Lists) -> Result<(), ConfigError> {
     for pair in lists.services().windows(2) {
-        differ("service", &pair[0].service, &pair[1].service)?;
+        if pair[0].service == pair[1].service {
+            let key = EntryKey::Service(pair[0].service.clone());
+            return Err(ConfigError::Duplicate(key));
+        }
     }
     for entry in lists.services() {
         let timeout_ms = u64::try_from(entry.timeout_ms.as_millis()).unwrap_or(u64::MAX);
@@ -74,55 +73,61 @@
 
 fn check_plans(lists: &Lists) -> Result<(), ConfigError> {
     for pair in lists.plans().windows(2) {
-        differ("plan", &pair[0].plan, &pair[1].plan)?;
+        if pair[0].plan == pair[1].plan {
+            let key = EntryKey::Plan(pair[0].plan.clone());
+            return Err(ConfigError::Duplicate(key));
+        }
     }
     for entry in lists.plans() {
         limit("weight", entry.weight, 1, limits::MAX_WEIGHT)?;
-        for pair in entry.uses.windows(2) {
-            differ("service in a plan's uses", &pair[0], &pair[1])?;
-        }
-        for used in &entry.uses {
-            if lists.service(used).is_none() {
-                return Err(ConfigError::Unknown {
-                    key: format!("plan `{}`", entry.plan),
-                    missing: format!("service `{used}`"),
-                });
-            }
-        }
+        check_uses(lists, entry)?;
     }
     Ok(())
 }
 
+fn check_uses(lists: &Lists, entry: &PlanEntry) -> Result<(), ConfigError> {
+    for pair in entry.uses.windows(2) {
+        if pair[0] == pair[1] {
+            return Err(ConfigError::DuplicateUse {
+                plan: entry.plan.clone(),
+                service: pair[0].clone(),
+            });
+        }
+    }
+    let missing = entry.uses.iter().find(|used| lists.service(used).is_none());
+    missing.map_or(Ok(()), |used| {
+        Err(ConfigError::Unknown {
+            key: EntryKey::Plan(entry.plan.clone()),
+            missing: EntryKey::Service(used.clone()),
+        })
+    })
+}
+
 fn check_customers(lists: &Lists) -> Result<(), ConfigError> {
     for pair in lists.customers().windows(2) {
-        differ("customer", &pair[0].customer, &pair[1].customer)?;
+        if pair[0].customer == pair[1].customer {
+            let key = EntryKey::Customer(pair[0].customer.clone());
+            return Err(ConfigError::Duplicate(key));
+        }
     }
-    let mut credentials = HashSet::with_capacity(lists.customers().len());
+    let mut credentials = HashMap::with_capacity(lists.customers().len());
     for entry in lists.customers() {
-        if !credentials.insert(entry.credential_sha256) {
-            return Err(ConfigError::Duplicate {
-                key: format!("credential_sha256 `{}`", entry.credential_sha256),
+        if let Some(first) = credentials.insert(entry.credential_sha256, &entry.customer) {
+            return Err(ConfigError::DuplicateCredential {
+                first: first.clone(),
+                second: entry.customer.clone(),
             });
         }
         if lists.plan(&entry.plan).is_none() {
             return Err(ConfigError::Unknown {
-                key: format!("customer `{}`", entry.customer),
-                missing: format!("plan `{}`", entry.plan),
+                key: EntryKey::Customer(entry.customer.clone()),
+                missing: EntryKey::Plan(entry.plan.clone()),
             });
         }
     }
     Ok(())
 }
 
-fn differ<T: Display + PartialEq>(kind: &str, one: &T, other: &T) -> Result<(), ConfigError> {
-    if one == other {
-        return Err(ConfigError::Duplicate {
-            key: format!("{kind} `{one}`"),
-        });
-    }
-    Ok(())
-}
-
 fn limit<T: TryInto<u64>>(field: &str, value: T, least: T, most: T) -> Result<(), ConfigError> {
     let wide = |number: T| number.try_into().unwrap_or(u64::MAX);
     let (value, least, most) = (wide(value), wide(least), wide(most));
--- a/crates/config/src/config_error.rs
+++ b/crates/config/src/config_error.rs
@@ -1,5 +1,7 @@
 use displaydoc::Display;
-use medlarspool_types::{ConfigDigest, ConfigHead, ConfigVersion};
+use medlarspool_types::{ConfigDigest, ConfigHead, ConfigVersion, CustomerId, PlanId, ServiceName};
+
+use crate::EntryKey;
 
 /// Why lists, a snapshot or a delta were refused; nothing is taken over from what was refused.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -40,10 +42,21 @@
         /// The head that was asked for.
         head: ConfigHead,
     },
-    /// {key} is listed twice
-    Duplicate {
-        /// The entry.
-        key: String,
+    /// {0} is listed twice
+    Duplicate(EntryKey),
+    /// customers `{first}` and `{second}` have the same `credential_sha256`
+    DuplicateCredential {
+        /// The customer that is listed first.
+        first: CustomerId,
+        /// The customer that is listed later.
+        second: CustomerId,
+    },
+    /// plan `{plan}` names service `{service}` twice
+    DuplicateUse {
+        /// The plan.
+        plan: PlanId,
+        /// The service.
+        service: ServiceName,
     },
     /// {list}: line {line}: field `{field}`: {reason}
     Field {
@@ -79,9 +92,9 @@
     /// {key} names {missing}, which is not listed
     Unknown {
         /// The entry that names it.
-        key: String,
+        key: EntryKey,
         /// What it names.
-        missing: String,
+        missing: EntryKey,
     },
 }
 
--- /dev/null
+++ b/crates/platform/src/attempt.rs
@@ -0,0 +1,320 @@
+//! The tries of one change.
+
+use medlarspool_config::{ConfigError, EntryKey, Lists, ListsPatch};
+use medlarspool_types::{ConfigHead, ConfigVersion};
+
+use crate::{
+    Change, ChangeFate, ChangeRecord, CommitError, CommitOutcome, Platform, PlatformError,
+    RowCondition, RowWrite,
+    history::{self, HEAD_KEY, json},
+    withdraw::withdraw,
+};
+
+/// The most tries to write one object.
+const MAX_OBJECT_TRIES: u32 = 3;
+/// The most transactions of one change that may get no answer before the outcome is called unknown.
+const MAX_LOST_ANSWERS: u32 = 3;
+
+/// One change on its way.
+pub(crate) struct Attempt<'change> {
+    change: &'change Change,
+    lost_answers: u32,
+    platform: &'change dyn Platform,
+    unsettled: Option<Unsettled>,
+}
+
+/// A transaction of the change that may yet take effect.
+struct Unsettled {
+    /// The condition on head that it was sent with; `None` if an earlier run sent it.
+    condition: Option<RowCondition>,
+    reason: PlatformError,
+}
+
+/// Head as read, and the condition that it still stands.
+struct Head {
+    condition: RowCondition,
+    head: ConfigHead,
+}
+
+impl<'change> Attempt<'change> {
+    pub(crate) fn new(platform: &'change dyn Platform, change: &'change Change) -> Self {
+        let unsettled = change.sent_before.then(|| Unsettled {
+            condition: None,
+            reason: PlatformError::OutcomeUnknown("an earlier run may have sent it".into()),
+        });
+        Self {
+            change,
+            lost_answers: 0,
+            platform,
+            unsettled,
+        }
+    }
+
+    /// Reads the lists that the operator started from.
+    pub(crate) fn base(&self) -> Result<Lists, CommitError> {
+        self.lists_of(self.change.base)
+    }
+
+    /// Tries once; `None` asks for another try.
+    pub(crate) fn once(
+        &mut self,
+        base: &Lists,
+        patch: &ListsPatch,
+    ) -> Result<Option<CommitOutcome>, CommitError> {
+        let head = self.head()?;
+        // Head was read first: a transaction sent on an older head has taken effect by now or never
+        // will, because etags don't come back.
+        match history::read_change(self.platform, &self.change.id).map_err(failed)? {
+            Some(ChangeFate::Accepted(record)) => return Ok(Some(self.accepted(&record))),
+            Some(ChangeFate::Withdrawn) => {
+                self.unsettled = None;
+                return Err(CommitError::Withdrawn(self.change.id.clone()));
+            }
+            None => self.forget_overtaken(head.condition),
+        }
+        let current = self.lists_at(head.head)?;
+        self.refuse_overlap(base, patch, &current, head.head.version)?;
+        let next = match patch.apply(&current) {
+            Ok(next) => next,
+            Err(error) => return Err(self.invalid(error, patch, &current, head.head.version)?),
+        };
+        if next == current && head.head.version != ConfigVersion::NONE {
+            return Ok(Some(CommitOutcome::Unchanged { head: head.head }));
+        }
+        self.write(&head, &next)
+    }
+
+    /// Makes the last word on the change a true one: what may yet take effect is withdrawn first.
+    pub(crate) fn settle(
+        self,
+        result: Result<CommitOutcome, CommitError>,
+    ) -> Result<CommitOutcome, CommitError> {
+        let Some(unsettled) = &self.unsettled else {
+            return result;
+        };
+        let unknown = |reason: PlatformError| CommitError::OutcomeUnknown {
+            change: self.change.id.clone(),
+            reason,
+        };
+        match &result {
+            Ok(CommitOutcome::Accepted { .. }) => return result,
+            Err(CommitError::Platform(_) | CommitError::OutcomeUnknown { .. }) => {
+                return Err(unknown(unsettled.reason.clone()));
+            }
+            _ => {}
+        }
+        match withdraw(self.platform, &self.change.id) {
+            Ok(ChangeFate::Accepted(record)) => Ok(accepted(&record)),
+            Ok(ChangeFate::Withdrawn) => result,
+            Err(reason) => Err(unknown(reason)),
+        }
+    }
+
+    fn accepted(&mut self, record: &ChangeRecord) -> CommitOutcome {
+        self.unsettled = None;
+        accepted(record)
+    }
+
+    fn forget_overtaken(&mut self, condition: RowCondition) {
+        let sent = self.unsettled.as_ref().and_then(|lost| lost.condition);
+        if sent.is_some_and(|sent| sent != condition) {
+            self.unsettled = None;
+        }
+    }
+
+    fn write(&mut self, head: &Head, next: &Lists) -> Result<Option<CommitOutcome>, CommitError> {
+        let record = ChangeRecord {
+            asked_at_ms: self.change.asked_at_ms,
+            base: self.change.base,
+            change: self.change.id.clone(),
+            head: ConfigHead {
+                version: head.head.version.next(),
+                digest: next.digest(),
+            },
+            operator: self.change.operator.clone(),
+        };
+        let name = history::object_name(record.head.digest);
+        self.store(&name, &next.encode())?;
+        match self
+            .platform
+            .transact(&transaction(head.condition, &record))
+        {
+            Ok(()) => Ok(Some(self.accepted(&record))),
+            Err(PlatformError::Conflict { .. }) => Ok(None),
+            Err(reason @ PlatformError::OutcomeUnknown(_)) => self.lost(head.condition, reason),
+            Err(error) => Err(failed(error)),
+        }
+    }
+
+    /// Writes the object, again if its answer was lost: the same content under the name of its own
+    /// digest does no harm.
+    fn store(&self, name: &str, content: &[u8]) -> Result<(), CommitError> {
+        let mut stored = self.platform.put_object(name, content);
+        for _ in 1..MAX_OBJECT_TRIES {
+            if !matches!(stored, Err(PlatformError::OutcomeUnknown(_))) {
+                break;
+            }
+            stored = self.platform.put_object(name, content);
+        }
+        stored.map_err(failed)
+    }
+
+    fn lost(
+        &mut self,
+        condition: RowCondition,
+        reason: PlatformError,
+    ) -> Result<Option<CommitOutcome>, CommitError> {
+        self.lost_answers += 1;
+        let sent_before = self
+            .unsettled
+            .as_ref()
+            .is_some_and(|u| u.condition.is_none());
+        self.unsettled = Some(Unsettled {
+            condition: (!sent_before).then_some(condition),
+            reason: reason.clone(),
+        });
+        if self.lost_answers < MAX_LOST_ANSWERS {
+            return Ok(None);
+        }
+        Err(failed(reason))
+    }
+
+    fn head(&self) -> Result<Head, CommitError> {
+        let row = self.platform.row(HEAD_KEY).map_err(failed)?;
+        let Some(row) = row else {
+            return Ok(Head {
+                condition: RowCondition::Absent,
+                head: ConfigHead::default(),
+            });
+        };
+        Ok(Head {
+            condition: RowCondition::Matches(row.etag),
+            head: history::parse(&row).map_err(failed)?,
+        })
+    }
+
+    fn lists_of(&self, version: ConfigVersion) -> Result<Lists, CommitError> {
+        if version == ConfigVersion::NONE {
+            return Ok(Lists::default());
+        }
+        let record = history::read_version(self.platform, version).map_err(failed)?;
+        let record = record.ok_or(CommitError::UnknownVersion(version))?;
+        self.lists_at(record.head)
+    }
+
+    fn lists_at(&self, head: ConfigHead) -> Result<Lists, CommitError> {
+        if head.version == ConfigVersion::NONE {
+            return Ok(Lists::default());
+        }
+        history::read_lists(self.platform, head).map_err(failed)
+    }
+
+    /// Refuses if an entry of the patch was changed by others since its base, to something else.
+    fn refuse_overlap(
+        &self,
+        base: &Lists,
+        patch: &ListsPatch,
+        current: &Lists,
+        version: ConfigVersion,
+    ) -> Result<(), CommitError> {
+        let wanted = &self.change.lists;
+        let lost = patch
+            .keys()
+            .find(|key| !current.same_entry(base, key) && !current.same_entry(wanted, key));
+        let Some(key) = lost else {
+            return Ok(());
+        };
+        let winner = self.winner(current, version, &key)?;
+        Err(CommitError::Conflict {
+            base: self.change.base,
+            key,
+            winner,
+        })
+    }
+
+    /// Names what a change lost to if it was sound on its own base but not on head.
+    fn invalid(
+        &self,
+        error: ConfigError,
+        patch: &ListsPatch,
+        current: &Lists,
+        version: ConfigVersion,
+    ) -> Result<CommitError, CommitError> {
+        let Some([one, other]) = parties(&error) else {
+            return Ok(CommitError::Invalid(error));
+        };
+        let own = |key: &EntryKey| patch.keys().any(|changed| changed == *key);
+        let (key, other) = match (own(&one), own(&other)) {
+            (true, false) => (one, other),
+            (false, true) => (other, one),
+            _ => return Ok(CommitError::Invalid(error)),
+        };
+        Ok(CommitError::Clash {
+            winner: self.winner(current, version, &other)?,
+            key,
+            other,
+            reason: Box::new(error),
+        })
+    }
+
+    /// Finds the newest version that changed an entry, by walking back from head.
+    fn winner(
+        &self,
+        current: &Lists,
+        head: ConfigVersion,
+        key: &EntryKey,
+    ) -> Result<ConfigVersion, CommitError> {
+        let mut version = head;
+        while version.0 > self.change.base.0 + 1 {
+            let before = ConfigVersion(version.0 - 1);
+            if !self.lists_of(before)?.same_entry(current, key) {
+                break;
+            }
+            version = before;
+        }
+        Ok(version)
+    }
+}
+
+fn accepted(record: &ChangeRecord) -> CommitOutcome {
+    CommitOutcome::Accepted {
+        head: record.head,
+        rebased: record.head.version != record.base.next(),
+    }
+}
+
+fn failed(error: PlatformError) -> CommitError {
+    CommitError::Platform(error)
+}
+
+/// Returns the two entries that an error is about.
+fn parties(error: &ConfigError) -> Option<[EntryKey; 2]> {
+    match error {
+        ConfigError::DuplicateCredential { first, second } => Some([
+            EntryKey::Customer(first.clone()),
+            EntryKey::Customer(second.clone()),
+        ]),
+        ConfigError::Unknown { key, missing } => Some([key.clone(), missing.clone()]),
+        _ => None,
+    }
+}
+
+fn transaction(condition: RowCondition, record: &ChangeRecord) -> [RowWrite; 3] {
+    [
+        RowWrite {
+            condition,
+            key: HEAD_KEY.into(),
+            value: Some(json(&record.head)),
+        },
+        RowWrite {
+            condition: RowCondition::Absent,
+            key: history::change_key(&record.change),
+            value: Some(json(&ChangeFate::Accepted(record.clone()))),
+        },
+        RowWrite {
+            condition: RowCondition::Absent,
+            key: history::version_key(record.head.version),
+            value: Some(json(record)),
+        },
+    ]
+}
--- a/crates/platform/src/change.rs
+++ b/crates/platform/src/change.rs
@@ -14,4 +14,6 @@
     pub lists: Lists,
     /// Who asks, for the history.
     pub operator: String,
+    /// Whether an earlier run may have sent it already, so that only the table knows.
+    pub sent_before: bool,
 }
--- a/crates/platform/src/commit_error.rs
+++ b/crates/platform/src/commit_error.rs
@@ -7,6 +7,17 @@
 /// Why a change was not accepted, or is not known to be.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum CommitError {
+    /// not accepted: {key} lost to version `{winner}`, which changed {other}: {reason}
+    Clash {
+        /// The entry that the change would have made.
+        key: EntryKey,
+        /// The entry that it can't stand beside.
+        other: EntryKey,
+        /// What is wrong with both together.
+        reason: Box<ConfigError>,
+        /// The version that changed the other entry.
+        winner: ConfigVersion,
+    },
     /// not accepted: {key} was changed by version `{winner}` since version `{base}`
     Conflict {
         /// The version that the change started from.
@@ -34,6 +45,8 @@
     },
     /// not accepted: there is no version `{0}`
     UnknownVersion(ConfigVersion),
+    /// not accepted: change `{0}` was withdrawn
+    Withdrawn(ChangeId),
 }
 
 impl std::error::Error for CommitError {}
--- a/crates/platform/src/fake_faults.rs
+++ b/crates/platform/src/fake_faults.rs
@@ -13,8 +13,9 @@
     pub delay_ms: Duration,
     /// Refuses every call.
     pub down: bool,
-    /// The number of coming writes that arrive only after a few later calls, if at all; the writer
-    /// gets no answer.
+    /// The number of later calls after which a late write arrives.
+    pub late_by_calls: u32,
+    /// The number of coming writes that arrive late; the writer gets no answer.
     pub late_writes: u32,
     /// The number of coming writes that take effect but whose answer is lost.
     pub lost_answers: u32,
--- a/crates/platform/src/fake_platform.rs
+++ b/crates/platform/src/fake_platform.rs
@@ -6,10 +6,9 @@
 
 use medlarspool_types::{Clock, SystemClock};
 
-use crate::{FakeCounts, FakeFaults, Platform, PlatformError, Row, RowCondition, RowWrite};
-
-/// The number of later calls after which a late write arrives.
-const LATE_CALLS: u32 = 3;
+use crate::{
+    FakeCounts, FakeFaults, Platform, PlatformError, Row, RowCondition, RowWrite, table_key,
+};
 
 /// The platform in memory, for tests and stand-ins; clones share one state.
 #[derive(Clone)]
@@ -118,14 +117,17 @@
 
 impl Platform for FakePlatform {
     fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        table_key::check(name)?;
         self.read(|state| state.objects.get(name).cloned())
     }
 
     fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        table_key::check(name)?;
         self.write(Write::Object(name.into(), content.into()))
     }
 
     fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        table_key::check(key)?;
         self.read(|state| state.rows.get(key).cloned())
     }
 
@@ -138,6 +140,9 @@
     }
 
     fn transact(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
+        writes
+            .iter()
+            .try_for_each(|write| table_key::check(&write.key))?;
         self.write(Write::Rows(writes.to_vec()))
     }
 }
@@ -155,7 +160,7 @@
             return Err(PlatformError::OutcomeUnknown("the request was lost".into()));
         }
         if take_one(&mut self.faults.late_writes) {
-            let calls_left = LATE_CALLS;
+            let calls_left = self.faults.late_by_calls.max(1);
             self.late.push(LateWrite { calls_left, write });
             return Err(PlatformError::OutcomeUnknown("the request is late".into()));
         }
--- a/crates/platform/src/history.rs
+++ b/crates/platform/src/history.rs
@@ -2,9 +2,9 @@
 
 use medlarspool_config::{ConfigError, Lists};
 use medlarspool_types::{ChangeId, ConfigDigest, ConfigHead, ConfigVersion};
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{ChangeRecord, Platform, PlatformError, Row};
+use crate::{ChangeFate, ChangeRecord, Platform, PlatformError, Row};
 
 /// The row that holds the newest accepted version.
 pub(crate) const HEAD_KEY: &str = "config/head";
@@ -51,7 +51,7 @@
     Ok(lists)
 }
 
-/// Reads what became of a change; `None` if it was not accepted so far.
+/// Reads what became of a change; `None` if it was not accepted so far, though it may yet be.
 ///
 /// # Errors
 ///
@@ -59,7 +59,7 @@
 pub fn read_change(
     platform: &dyn Platform,
     change: &ChangeId,
-) -> Result<Option<ChangeRecord>, PlatformError> {
+) -> Result<Option<ChangeFate>, PlatformError> {
     let row = platform.row(&change_key(change))?;
     row.as_ref().map(parse).transpose()
 }
@@ -95,3 +95,7 @@
 fn damaged(name: &str, error: &ConfigError) -> PlatformError {
     PlatformError::Malformed(format!("object `{name}`: {error}"))
 }
+
+pub(crate) fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
--- a/crates/platform/src/http_platform.rs
+++ b/crates/platform/src/http_platform.rs
@@ -1,9 +1,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::de::DeserializeOwned;
-use ureq::{Agent, Body, http::Response};
+use ureq::{Agent, Body, RequestBuilder, http::Response};
 
-use crate::{BatchConflict, Platform, PlatformError, Row, RowWrite, TableBatch};
+use crate::{
+    BatchConflict, Platform, PlatformError, Row, RowCondition, RowWrite, TableBatch, table_key,
+};
 
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
@@ -40,10 +42,58 @@
             .call()
             .map_err(|error| PlatformError::Unavailable(error.to_string()))
     }
+
+    /// Writes one row by a conditional request of RFC 9110.
+    fn write_row(&self, write: &RowWrite) -> Result<(), PlatformError> {
+        let uri = format!("{}/table/{}", self.base, write.key);
+        let sent = match &write.value {
+            None => {
+                let request = self.agent.delete(uri);
+                let request = request.header("authorization", &self.authorization);
+                conditional(request, write.condition).call()
+            }
+            Some(value) => {
+                let request = self.agent.put(uri);
+                let request = request.header("authorization", &self.authorization);
+                conditional(request, write.condition).send(value)
+            }
+        };
+        let response = sent.map_err(|error| write_error(&error))?;
+        match response.status().as_u16() {
+            200..=204 => Ok(()),
+            412 => Err(PlatformError::Conflict {
+                key: write.key.clone(),
+            }),
+            status => Err(refused(status)),
+        }
+    }
+
+    fn post_batch(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
+        let batch = TableBatch {
+            writes: writes.to_vec(),
+        };
+        let body = serde_json::to_vec(&batch)
+            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let request = self.agent.post(format!("{}/table", self.base));
+        let sent = request
+            .header("authorization", &self.authorization)
+            .content_type("application/json")
+            .send(&body);
+        let mut response = sent.map_err(|error| write_error(&error))?;
+        match response.status().as_u16() {
+            200..=204 => Ok(()),
+            412 => {
+                let conflict: BatchConflict = read_json(&mut response)?;
+                Err(PlatformError::Conflict { key: conflict.key })
+            }
+            status => Err(refused(status)),
+        }
+    }
 }
 
 impl Platform for HttpPlatform {
     fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        table_key::check(name)?;
         let mut response = self.get(&format!("/objects/{name}"))?;
         match response.status().as_u16() {
             200 => read_bytes(&mut response).map(Some),
@@ -53,6 +103,7 @@
     }
 
     fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        table_key::check(name)?;
         let request = self.agent.put(format!("{}/objects/{name}", self.base));
         let sent = request
             .header("authorization", &self.authorization)
@@ -65,6 +116,7 @@
     }
 
     fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        table_key::check(key)?;
         let mut response = self.get(&format!("/table/{key}"))?;
         match response.status().as_u16() {
             200 => Ok(Some(Row {
@@ -78,6 +130,7 @@
     }
 
     fn rows(&self, prefix: &str, limit: usize) -> Result<Vec<Row>, PlatformError> {
+        table_key::check(prefix)?;
         let mut response = self.get(&format!("/table?prefix={prefix}&limit={limit}"))?;
         match response.status().as_u16() {
             200 => read_json(&mut response),
@@ -86,28 +139,24 @@
     }
 
     fn transact(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
-        let batch = TableBatch {
-            writes: writes.to_vec(),
-        };
-        let body = serde_json::to_vec(&batch)
-            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        let request = self.agent.post(format!("{}/table", self.base));
-        let sent = request
-            .header("authorization", &self.authorization)
-            .content_type("application/json")
-            .send(&body);
-        let mut response = sent.map_err(|error| write_error(&error))?;
-        match response.status().as_u16() {
-            200..=204 => Ok(()),
-            412 => {
-                let conflict: BatchConflict = read_json(&mut response)?;
-                Err(PlatformError::Conflict { key: conflict.key })
-            }
-            status => Err(refused(status)),
+        writes
+            .iter()
+            .try_for_each(|write| table_key::check(&write.key))?;
+        match writes {
+            [write] => self.write_row(write),
+            _ => self.post_batch(writes),
         }
     }
 }
 
+fn conditional<B>(request: RequestBuilder<B>, condition: RowCondition) -> RequestBuilder<B> {
+    match condition {
+        RowCondition::Absent => request.header("if-none-match", "*"),
+        RowCondition::Any => request,
+        RowCondition::Matches(etag) => request.header("if-match", format!("\"{etag}\"")),
+    }
+}
+
 /// Only a connection that never came about proves that a write was not seen.
 fn write_error(error: &ureq::Error) -> PlatformError {
     match error {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,7 +4,9 @@
 //! Everything that must outlive a process is kept here. See `docs/design/platform.md` and
 //! `docs/design/commit.md`.
 
+mod attempt;
 mod change;
+mod change_fate;
 mod change_record;
 mod commit;
 mod commit_error;
@@ -20,9 +22,12 @@
 mod row_condition;
 mod row_write;
 mod table_batch;
+mod table_key;
+mod withdraw;
 
 pub use crate::{
     change::Change,
+    change_fate::ChangeFate,
     change_record::ChangeRecord,
     commit::commit,
     commit_error::CommitError,
@@ -38,4 +43,5 @@
     row_condition::RowCondition,
     row_write::RowWrite,
     table_batch::{BatchConflict, TableBatch},
+    withdraw::withdraw,
 };
--- /dev/null
+++ b/crates/platform/src/table_key.rs
@@ -0,0 +1,13 @@
+use crate::PlatformError;
+
+/// The longest key of a row or name of an object, in bytes.
+const MAX_KEY_BYTES: usize = 512;
+
+/// Checks that a key or a name needs no escaping in a URL.
+pub(crate) fn check(key: &str) -> Result<(), PlatformError> {
+    let allowed = |byte: &u8| byte.is_ascii_alphanumeric() || b"-_./".contains(byte);
+    if !key.is_empty() && key.len() <= MAX_KEY_BYTES && key.as_bytes().iter().all(allowed) {
+        return Ok(());
+    }
+    Err(PlatformError::Malformed(format!("key `{key}`")))
+}
--- /dev/null
+++ b/crates/platform/src/withdraw.rs
@@ -0,0 +1,38 @@
+use medlarspool_types::ChangeId;
+
+use crate::{
+    ChangeFate, Platform, PlatformError, RowCondition, RowWrite,
+    history::{change_key, json, read_change},
+};
+
+/// The most tries to withdraw a change.
+const MAX_TRIES: u32 = 3;
+
+/// Settles a change whose outcome is not known: unless it is accepted already, it never will be.
+///
+/// The change's row is taken, so that a transaction still on its way finds its condition broken.
+///
+/// # Errors
+///
+/// Fails if the platform does; the outcome is then still not known.
+pub fn withdraw(platform: &dyn Platform, change: &ChangeId) -> Result<ChangeFate, PlatformError> {
+    let fence = [RowWrite {
+        condition: RowCondition::Absent,
+        key: change_key(change),
+        value: Some(json(&ChangeFate::Withdrawn)),
+    }];
+    let mut last = PlatformError::OutcomeUnknown("not tried".into());
+    for _ in 0..MAX_TRIES {
+        match platform.transact(&fence) {
+            Ok(()) => return Ok(ChangeFate::Withdrawn),
+            Err(error @ (PlatformError::Conflict { .. } | PlatformError::OutcomeUnknown(_))) => {
+                last = error;
+            }
+            Err(error) => return Err(error),
+        }
+        if let Some(fate) = read_change(platform, change)? {
+            return Ok(fate);
+        }
+    }
+    Err(last)
+}
--- a/crates/platform/tests/commit.rs
+++ b/crates/platform/tests/commit.rs
@@ -1,12 +1,14 @@
 //! What becomes of a change, with and without faults of the platform.
 
-use medlarspool_config::{CredentialHash, Lists};
+use medlarspool_config::{CredentialHash, EntryChange, Lists, ListsPatch};
 use medlarspool_platform::{
-    Change, CommitError, CommitOutcome, FakeFaults, FakePlatform, commit, read_change, read_head,
-    read_lists,
+    Change, ChangeFate, CommitError, CommitOutcome, FakeFaults, FakePlatform, Platform,
+    PlatformError, Row, RowWrite, commit, read_change, read_head, read_lists, versions, withdraw,
 };
 use medlarspool_types::ConfigVersion;
+use rstest::rstest;
 
+const LATE_BY_CALLS: u32 = 10;
 const PLANS: &str = "
 services: [{service: sky-map, timeout_ms: 2000, max_request_bytes: 1024}]
 plans: [{plan: observer, uses: [sky-map], weight: 1}, {plan: guest, uses: [], weight: 1}]
@@ -25,6 +27,7 @@
         id: id.parse().expect("id"),
         lists: Lists::parse(&yaml, PLANS).expect("lists"),
         operator: "operator".into(),
+        sent_before: false,
     }
 }
 
@@ -35,6 +38,41 @@
     }
 }
 
+/// A platform whose transactions are late and that is down from then on.
+struct DiesAfterTransaction<'platform>(&'platform FakePlatform);
+
+impl Platform for DiesAfterTransaction<'_> {
+    fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        self.0.object(name)
+    }
+
+    fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        self.0.put_object(name, content)
+    }
+
+    fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        self.0.row(key)
+    }
+
+    fn rows(&self, prefix: &str, limit: usize) -> Result<Vec<Row>, PlatformError> {
+        self.0.rows(prefix, limit)
+    }
+
+    fn transact(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
+        self.0.set_faults(FakeFaults {
+            late_by_calls: LATE_BY_CALLS,
+            late_writes: 1,
+            ..FakeFaults::default()
+        });
+        let result = self.0.transact(writes);
+        self.0.set_faults(FakeFaults {
+            down: true,
+            ..FakeFaults::default()
+        });
+        result
+    }
+}
+
 #[test]
 fn disjoint_edits_are_rebased() {
     let platform = FakePlatform::default();
@@ -68,43 +106,102 @@
 }
 
 #[test]
-fn a_lost_answer_is_settled() {
+fn edits_that_clash_only_together_name_both() {
+    let platform = FakePlatform::default();
+    commit(&platform, &change("1", 0, &[])).expect("first");
+    commit(&platform, &change("2", 1, &[("a", "guest")])).expect("second");
+    let mut lost = change("3", 1, &[]);
+    let remove = EntryChange::RemovePlan("guest".parse().expect("id"));
+    lost.lists = ListsPatch::new([remove]).apply(&lost.lists).expect("lists");
+    let text = commit(&platform, &lost).expect_err("clash").to_string();
+    assert_eq!(
+        text,
+        "not accepted: plan `guest` lost to version `2`, which changed customer `a`: \
+         customer `a` names plan `guest`, which is not listed"
+    );
+}
+
+#[test]
+fn restoring_an_old_list_makes_a_higher_version() {
     let platform = FakePlatform::default();
     commit(&platform, &change("1", 0, &[("a", "guest")])).expect("first");
-    for (id, faults) in [
-        (
-            "2",
-            FakeFaults {
-                lost_answers: 2,
-                ..FakeFaults::default()
-            },
-        ),
-        (
-            "3",
-            FakeFaults {
-                lost_writes: 2,
-                ..FakeFaults::default()
-            },
-        ),
-        (
-            "4",
-            FakeFaults {
-                late_writes: 2,
-                ..FakeFaults::default()
-            },
-        ),
-    ] {
-        let before = read_head(&platform).expect("read").expect("head").version;
-        platform.set_faults(faults);
-        let plan = if id == "3" { "guest" } else { "observer" };
-        let asked = change(id, before.0, &[("a", plan)]);
-        let outcome = commit(&platform, &asked).or_else(|_| commit(&platform, &asked));
-        assert_eq!(version(&outcome), before.0 + 1);
-        let record = read_change(&platform, &asked.id)
-            .expect("read")
-            .expect("record");
-        assert_eq!(record.head.version, before.next());
+    commit(&platform, &change("2", 1, &[("a", "observer")])).expect("second");
+    let restored = commit(&platform, &change("3", 2, &[("a", "guest")]));
+    assert_eq!(version(&restored), 3);
+    let digests: Vec<_> = versions(&platform, 10)
+        .expect("versions")
+        .iter()
+        .map(|record| record.head.digest)
+        .collect();
+    assert_eq!(digests[0], digests[2]);
+}
+
+#[rstest]
+#[case::answer(FakeFaults { lost_answers: 2, ..FakeFaults::default() })]
+#[case::late(FakeFaults { late_by_calls: 3, late_writes: 2, ..FakeFaults::default() })]
+#[case::request(FakeFaults { lost_writes: 2, ..FakeFaults::default() })]
+fn what_is_lost_on_the_way_is_settled(#[case] faults: FakeFaults) {
+    let platform = FakePlatform::default();
+    commit(&platform, &change("1", 0, &[("a", "guest")])).expect("first");
+    platform.set_faults(faults);
+    let asked = change("2", 1, &[("a", "observer")]);
+    assert_eq!(version(&commit(&platform, &asked)), 2);
+    let fate = read_change(&platform, &asked.id).expect("read");
+    assert!(matches!(fate, Some(ChangeFate::Accepted(record)) if record.head.version.0 == 2));
+}
+
+/// Commits a change whose transaction is late on a platform that goes down right after it.
+fn commit_late(platform: &FakePlatform, asked: &Change) -> Result<CommitOutcome, CommitError> {
+    commit(platform, &change("1", 0, &[("a", "guest")])).expect("first");
+    let dying = DiesAfterTransaction(platform);
+    commit(&dying, asked)
+}
+
+#[test]
+fn a_platform_that_dies_after_the_transaction_leaves_the_outcome_unknown() {
+    let platform = FakePlatform::default();
+    let mut asked = change("2", 1, &[("a", "observer")]);
+    let text = commit_late(&platform, &asked)
+        .expect_err("no answer")
+        .to_string();
+    assert_eq!(
+        text,
+        "outcome not known (the outcome of the write is not known: the request is late); \
+         run `medlarspool history --change 2`"
+    );
+    asked.sent_before = true;
+    let again = commit(&platform, &asked);
+    assert!(
+        matches!(again, Err(CommitError::OutcomeUnknown { .. })),
+        "still down"
+    );
+    platform.set_faults(FakeFaults::default());
+    assert_eq!(version(&commit(&platform, &asked)), 2);
+}
+
+#[test]
+fn a_withdrawn_change_never_takes_effect() {
+    let platform = FakePlatform::default();
+    let asked = change("2", 1, &[("a", "observer")]);
+    commit_late(&platform, &asked).expect_err("no answer");
+    platform.set_faults(FakeFaults::default());
+    assert_eq!(read_change(&platform, &asked.id), Ok(None));
+    assert_eq!(withdraw(&platform, &asked.id), Ok(ChangeFate::Withdrawn));
+    for _ in 0..LATE_BY_CALLS {
+        read_head(&platform).expect("the late transaction arrives");
     }
+    let head = read_head(&platform).expect("read").expect("head");
+    assert_eq!(head.version, ConfigVersion(1));
+    let again = commit(&platform, &asked);
+    assert_eq!(again, Err(CommitError::Withdrawn(asked.id)));
+}
+
+#[test]
+fn withdrawing_an_accepted_change_says_so() {
+    let platform = FakePlatform::default();
+    commit(&platform, &change("1", 0, &[])).expect("first");
+    let fate = withdraw(&platform, &"1".parse().expect("id"));
+    assert!(matches!(fate, Ok(ChangeFate::Accepted(_))));
 }
 
 #[test]
@@ -115,5 +212,24 @@
         ..FakeFaults::default()
     });
     let refused = commit(&platform, &change("1", 0, &[]));
-    assert!(matches!(refused, Err(CommitError::Platform(_))));
+    let text = refused.expect_err("down").to_string();
+    let expected = "not accepted: the platform is not available; nothing was written: ";
+    assert!(text.starts_with(expected), "{text}");
+}
+
+#[test]
+fn a_damaged_object_is_not_built_upon() {
+    let platform = FakePlatform::default();
+    let first = commit(&platform, &change("1", 0, &[("a", "guest")]));
+    let Ok(CommitOutcome::Accepted { head, .. }) = first else {
+        panic!("{first:?}");
+    };
+    let name = format!("lists/{}", head.digest);
+    let content = change("x", 0, &[("b", "guest")]).lists.encode();
+    platform.put_object(&name, &content).expect("damage");
+    let refused = commit(&platform, &change("2", 1, &[]));
+    assert!(matches!(
+        refused,
+        Err(CommitError::Platform(PlatformError::Malformed(_)))
+    ));
 }
--- /dev/null
+++ b/crates/platform/tests/races.rs
@@ -0,0 +1,288 @@
+//! Operators that race each other while the platform fails: no accepted edit is lost, no refused one
+//! is taken, and no change makes two versions.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use medlarspool_config::{
+    CredentialHash, CustomerEntry, EntryChange, Lists, ListsPatch, PlanEntry,
+};
+use medlarspool_platform::{
+    Change, ChangeFate, ChangeRecord, CommitError, CommitOutcome, FakeFaults, FakePlatform,
+    Platform, commit, read_change, read_head, read_lists, read_version, versions,
+};
+use medlarspool_types::{ConfigHead, ConfigVersion};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use support::{Fault, Step, Turns};
+
+const OPERATORS: usize = 3;
+
+/// One edit of one entry.
+#[derive(Clone, Copy, Debug)]
+enum Edit {
+    PutCustomer {
+        customer: u8,
+        plan: u8,
+        credential: u8,
+    },
+    PutPlan {
+        plan: u8,
+        weight: u32,
+    },
+    RemoveCustomer {
+        customer: u8,
+    },
+    RemovePlan {
+        plan: u8,
+    },
+}
+
+impl Edit {
+    fn change(self) -> EntryChange {
+        let customer_id = |customer| format!("customer-{customer}").parse().expect("id");
+        let plan_id = |plan| format!("plan-{plan}").parse().expect("id");
+        match self {
+            Self::PutCustomer {
+                customer,
+                plan,
+                credential,
+            } => EntryChange::PutCustomer(CustomerEntry {
+                credential_sha256: CredentialHash::of(&credential.to_string()),
+                customer: customer_id(customer),
+                plan: plan_id(plan),
+            }),
+            Self::PutPlan { plan, weight } => EntryChange::PutPlan(PlanEntry {
+                plan: plan_id(plan),
+                uses: Vec::new(),
+                weight,
+            }),
+            Self::RemoveCustomer { customer } => EntryChange::RemoveCustomer(customer_id(customer)),
+            Self::RemovePlan { plan } => EntryChange::RemovePlan(plan_id(plan)),
+        }
+    }
+}
+
+/// A change and the last word that its operator was given.
+struct Told {
+    change: Change,
+    word: Result<CommitOutcome, CommitError>,
+}
+
+fn edit() -> impl Strategy<Value = Edit> {
+    prop_oneof![
+        4 => (0..4_u8, 0..3_u8, 0..5_u8).prop_map(|(customer, plan, credential)| {
+            Edit::PutCustomer { customer, plan, credential }
+        }),
+        2 => (0..3_u8, 1..4_u32).prop_map(|(plan, weight)| Edit::PutPlan { plan, weight }),
+        1 => (0..4_u8).prop_map(|customer| Edit::RemoveCustomer { customer }),
+        1 => (0..3_u8).prop_map(|plan| Edit::RemovePlan { plan }),
+    ]
+}
+
+fn step(sound: u32) -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        sound => Just(Fault::None),
+        1 => Just(Fault::Down),
+        1 => Just(Fault::LostAnswer),
+        1 => Just(Fault::LostWrite),
+        2 => (1..30_u32).prop_map(|by_calls| Fault::Late { by_calls }),
+    ];
+    (fault, 0..OPERATORS).prop_map(|(fault, turn)| Step { fault, turn })
+}
+
+/// Schedules on which the platform fails seldom or often.
+fn schedule() -> impl Strategy<Value = Vec<Step>> {
+    prop_oneof![vec(step(50), 100..300), vec(step(8), 100..300)]
+}
+
+fn current(platform: &dyn Platform) -> Option<(ConfigVersion, Lists)> {
+    let head = read_head(platform).ok()?.unwrap_or_default();
+    if head.version == ConfigVersion::NONE {
+        return Some((head.version, Lists::default()));
+    }
+    Some((head.version, read_lists(platform, head).ok()?))
+}
+
+/// Commits changes one after the other, each made on a copy of the lists that may be stale.
+fn operate(platform: &dyn Platform, name: &str, changes: &[Vec<Edit>], runs: usize) -> Vec<Told> {
+    let mut told = Vec::new();
+    let mut copy = (ConfigVersion::NONE, Lists::default());
+    for (number, edits) in changes.iter().enumerate() {
+        if number % 2 == 0 {
+            copy = current(platform).unwrap_or(copy);
+        }
+        let patch = ListsPatch::new(edits.iter().map(|edit| edit.change()));
+        let Ok(lists) = patch.apply(&copy.1) else {
+            continue;
+        };
+        let mut change = Change {
+            asked_at_ms: 0,
+            base: copy.0,
+            id: format!("{name}-{number}").parse().expect("id"),
+            lists,
+            operator: name.into(),
+            sent_before: false,
+        };
+        let mut word = commit(platform, &change);
+        for _ in 1..runs {
+            if !matches!(word, Err(CommitError::OutcomeUnknown { .. })) {
+                break;
+            }
+            change.sent_before = true;
+            word = commit(platform, &change);
+        }
+        told.push(Told { change, word });
+    }
+    told
+}
+
+/// Commits lists to start from.
+fn begin(platform: &FakePlatform) -> Told {
+    let plans = (0..3).map(|plan| Edit::PutPlan { plan, weight: 1 });
+    let customers = (0..2).map(|customer| Edit::PutCustomer {
+        customer,
+        plan: customer,
+        credential: customer,
+    });
+    let edits: Vec<Edit> = plans.chain(customers).collect();
+    operate(platform, "begin", &[edits], 1).remove(0)
+}
+
+fn race(
+    platform: &FakePlatform,
+    changes: &[Vec<Vec<Edit>>],
+    schedule: Vec<Step>,
+    runs: usize,
+) -> Vec<Told> {
+    let turns = Turns::new(platform, OPERATORS, schedule);
+    let told = std::thread::scope(|scope| {
+        let threads = changes.iter().enumerate().map(|(operator, changes)| {
+            let seat = turns.operator(operator);
+            scope.spawn(move || operate(&seat, &format!("operator-{operator}"), changes, runs))
+        });
+        let threads: Vec<_> = threads.collect();
+        let join = |thread: std::thread::ScopedJoinHandle<'_, _>| thread.join().expect("operator");
+        threads.into_iter().flat_map(join).collect()
+    });
+    platform.set_faults(FakeFaults::default());
+    for _ in 0..40 {
+        read_head(platform).expect("late writes arrive");
+    }
+    told
+}
+
+fn lists_of(platform: &FakePlatform, version: ConfigVersion) -> Lists {
+    if version == ConfigVersion::NONE {
+        return Lists::default();
+    }
+    let record = read_version(platform, version)
+        .expect("read")
+        .expect("version");
+    read_lists(platform, record.head).expect("lists")
+}
+
+/// Each version is the one before it with one change's entries put in, and nothing else touched.
+fn check_versions(platform: &FakePlatform, told: &[Told]) -> Result<(), TestCaseError> {
+    let head = read_head(platform).expect("read").unwrap_or_default();
+    let mut records: Vec<ChangeRecord> = versions(platform, 1000).expect("versions");
+    records.reverse();
+    let numbers: Vec<u64> = records.iter().map(|record| record.head.version.0).collect();
+    prop_assert_eq!(numbers, (1..=head.version.0).collect::<Vec<_>>());
+    let ids: BTreeSet<_> = records.iter().map(|record| &record.change).collect();
+    prop_assert_eq!(ids.len(), records.len(), "one version for each change");
+    let mut before = Lists::default();
+    for record in &records {
+        let asked = told.iter().find(|told| told.change.id == record.change);
+        let asked = asked.expect("nobody asked for this version");
+        let base = lists_of(platform, record.base);
+        let patch = ListsPatch::between(&base, &asked.change.lists);
+        let wanted = &asked.change.lists;
+        for key in patch.keys() {
+            let untouched = before.same_entry(&base, &key) || before.same_entry(wanted, &key);
+            prop_assert!(untouched, "version {} overran {key}", record.head.version);
+        }
+        let expected = patch.apply(&before).expect("sound");
+        let found = read_lists(platform, record.head).expect("lists");
+        prop_assert_eq!(&found, &expected);
+        before = found;
+    }
+    Ok(())
+}
+
+/// What each operator was told is what the table says.
+fn check_word(platform: &FakePlatform, told: &Told) -> Result<(), TestCaseError> {
+    let fate = read_change(platform, &told.change.id).expect("read");
+    match (&told.word, &fate) {
+        (Ok(CommitOutcome::Accepted { head, .. }), Some(ChangeFate::Accepted(record))) => {
+            prop_assert_eq!(*head, record.head);
+        }
+        (Ok(CommitOutcome::Unchanged { head }), None | Some(ChangeFate::Withdrawn)) => {
+            check_unchanged(platform, told, *head)?;
+        }
+        (Err(CommitError::OutcomeUnknown { .. }), _) => {}
+        (Err(error), None | Some(ChangeFate::Withdrawn)) => check_refusal(platform, told, error)?,
+        (word, fate) => prop_assert!(false, "told {word:?} but the table says {fate:?}"),
+    }
+    Ok(())
+}
+
+fn check_unchanged(
+    platform: &FakePlatform,
+    told: &Told,
+    head: ConfigHead,
+) -> Result<(), TestCaseError> {
+    let base = lists_of(platform, told.change.base);
+    let current = lists_of(platform, head.version);
+    for key in ListsPatch::between(&base, &told.change.lists).keys() {
+        prop_assert!(current.same_entry(&told.change.lists, &key), "{key}");
+    }
+    Ok(())
+}
+
+/// A refused operator is told of a later version that did change the entry.
+fn check_refusal(
+    platform: &FakePlatform,
+    told: &Told,
+    error: &CommitError,
+) -> Result<(), TestCaseError> {
+    let (key, winner) = match error {
+        CommitError::Clash { other, winner, .. } => (other, winner),
+        CommitError::Conflict { key, winner, .. } => (key, winner),
+        CommitError::Platform(_) | CommitError::TooManyRaces { .. } => return Ok(()),
+        other => {
+            prop_assert!(false, "unexpected {other:?}");
+            return Ok(());
+        }
+    };
+    prop_assert!(*winner > told.change.base);
+    let after = lists_of(platform, *winner);
+    let before = lists_of(platform, ConfigVersion(winner.0 - 1));
+    prop_assert!(!after.same_entry(&before, key), "{error}");
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 192,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn racing_operators_lose_nothing_silently(
+        changes in vec(vec(vec(edit(), 1..4), 1..6), OPERATORS),
+        schedule in schedule(),
+        runs in 1..4_usize,
+    ) {
+        let platform = FakePlatform::default();
+        let begin = begin(&platform);
+        let mut told = race(&platform, &changes, schedule, runs);
+        told.push(begin);
+        check_versions(&platform, &told)?;
+        for told in &told {
+            check_word(&platform, told)?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/support/mod.rs
@@ -0,0 +1,159 @@
+//! Several operators in threads of their own whose calls to the platform a schedule interleaves.
+
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+
+use medlarspool_platform::{FakeFaults, FakePlatform, Platform, PlatformError, Row, RowWrite};
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Down,
+    Late { by_calls: u32 },
+    LostAnswer,
+    LostWrite,
+    None,
+}
+
+impl Fault {
+    fn faults(self) -> FakeFaults {
+        let mut faults = FakeFaults::default();
+        match self {
+            Self::Down => faults.down = true,
+            Self::Late { by_calls } => {
+                faults.late_by_calls = by_calls;
+                faults.late_writes = 1;
+            }
+            Self::LostAnswer => faults.lost_answers = 1,
+            Self::LostWrite => faults.lost_writes = 1,
+            Self::None => {}
+        }
+        faults
+    }
+}
+
+/// One step of a schedule: whose call comes next and how it fails.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    pub fault: Fault,
+    pub turn: usize,
+}
+
+/// Lets exactly one operator's call through at a time, in the schedule's order.
+pub struct Turns {
+    changed: Condvar,
+    platform: FakePlatform,
+    state: Mutex<State>,
+}
+
+struct State {
+    alive: Vec<bool>,
+    current: Option<usize>,
+    schedule: Vec<Step>,
+    step: usize,
+    waiting: Vec<bool>,
+}
+
+impl Turns {
+    pub fn new(platform: &FakePlatform, operators: usize, schedule: Vec<Step>) -> Self {
+        Self {
+            changed: Condvar::new(),
+            platform: platform.clone(),
+            state: Mutex::new(State {
+                alive: vec![true; operators],
+                current: None,
+                schedule,
+                step: 0,
+                waiting: vec![false; operators],
+            }),
+        }
+    }
+
+    pub fn operator(&self, operator: usize) -> Seat<'_> {
+        Seat {
+            operator,
+            turns: self,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait(&self, operator: usize) {
+        let mut state = self.lock();
+        state.waiting[operator] = true;
+        if state.current == Some(operator) {
+            state.current = None;
+        }
+        state.choose();
+        self.changed.notify_all();
+        while state.current != Some(operator) {
+            state = self
+                .changed
+                .wait(state)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+        state.waiting[operator] = false;
+        let fault = state.schedule[state.step % state.schedule.len()].fault;
+        self.platform.set_faults(fault.faults());
+    }
+}
+
+impl State {
+    /// Chooses who is next once everybody alive waits.
+    fn choose(&mut self) {
+        let alive: Vec<usize> = (0..self.alive.len()).filter(|at| self.alive[*at]).collect();
+        let all_wait = alive.iter().all(|at| self.waiting[*at]);
+        if self.current.is_some() || alive.is_empty() || !all_wait {
+            return;
+        }
+        self.step += 1;
+        let turn = self.schedule[self.step % self.schedule.len()].turn;
+        self.current = Some(alive[turn % alive.len()]);
+    }
+}
+
+/// One operator's view of the platform; leaves the round when it is dropped.
+pub struct Seat<'turns> {
+    operator: usize,
+    turns: &'turns Turns,
+}
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        let mut state = self.turns.lock();
+        state.alive[self.operator] = false;
+        if state.current == Some(self.operator) {
+            state.current = None;
+        }
+        state.choose();
+        self.turns.changed.notify_all();
+    }
+}
+
+impl Platform for Seat<'_> {
+    fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        self.turns.wait(self.operator);
+        self.turns.platform.object(name)
+    }
+
+    fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        self.turns.wait(self.operator);
+        self.turns.platform.put_object(name, content)
+    }
+
+    fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        self.turns.wait(self.operator);
+        self.turns.platform.row(key)
+    }
+
+    fn rows(&self, prefix: &str, limit: usize) -> Result<Vec<Row>, PlatformError> {
+        self.turns.wait(self.operator);
+        self.turns.platform.rows(prefix, limit)
+    }
+
+    fn transact(&self, writes: &[RowWrite]) -> Result<(), PlatformError> {
+        self.turns.wait(self.operator);
+        self.turns.platform.transact(writes)
+    }
+}
