--- /dev/null
+++ b/crates/calls/src/admission.rs
@@ -0,0 +1,75 @@
+use medlarspool_config::{CustomerEntry, Route, RouteDecision, Snapshot};
+use medlarspool_types::{ConfigVersion, CustomerId, ServiceName};
+
+use crate::AdmissionRefusal;
+
+/// Whether a request may be passed on, by the newest version that either end of the hop holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission<'snapshot> {
+    /// The customer's plan allows the service.
+    Admitted {
+        /// The customer.
+        customer: &'snapshot CustomerId,
+        /// What it is routed by.
+        route: Route<'snapshot>,
+    },
+    /// The request was admitted by this version, which must be held before it is decided on.
+    FetchFirst(ConfigVersion),
+    /// It may not; a fact like any other "not run".
+    Refused(AdmissionRefusal),
+}
+
+impl<'snapshot> Admission<'snapshot> {
+    /// Decides at the entry, by the credential that the caller sent.
+    ///
+    /// `admitted_by` is the version that a call above this one was admitted by, or
+    /// [`ConfigVersion::NONE`].
+    #[must_use]
+    pub fn at_entry(
+        snapshot: &'snapshot Snapshot,
+        credential: &str,
+        service: &ServiceName,
+        admitted_by: ConfigVersion,
+    ) -> Self {
+        if snapshot.head().version < admitted_by {
+            return Self::FetchFirst(admitted_by);
+        }
+        match snapshot.authenticate(credential) {
+            Some(customer) => Self::by_plan(snapshot, customer, service),
+            None => Self::Refused(AdmissionRefusal::UnknownCredential),
+        }
+    }
+
+    /// Decides at the gate on a request that the entry admitted by `admitted_by`.
+    ///
+    /// A gate that holds an older version fetches first; one that holds a newer decides by its own.
+    #[must_use]
+    pub fn at_gate(
+        snapshot: &'snapshot Snapshot,
+        customer: &CustomerId,
+        service: &ServiceName,
+        admitted_by: ConfigVersion,
+    ) -> Self {
+        if snapshot.head().version < admitted_by {
+            return Self::FetchFirst(admitted_by);
+        }
+        match snapshot.lists().customer(customer) {
+            Some(customer) => Self::by_plan(snapshot, customer, service),
+            None => Self::Refused(AdmissionRefusal::UnknownCustomer),
+        }
+    }
+
+    fn by_plan(
+        snapshot: &'snapshot Snapshot,
+        customer: &'snapshot CustomerEntry,
+        service: &ServiceName,
+    ) -> Self {
+        let customer = &customer.customer;
+        match snapshot.route(customer, service) {
+            RouteDecision::Allowed(route) => Self::Admitted { customer, route },
+            RouteDecision::NotInPlan => Self::Refused(AdmissionRefusal::NotInPlan),
+            RouteDecision::UnknownCustomer => Self::Refused(AdmissionRefusal::UnknownCustomer),
+            RouteDecision::UnknownService => Self::Refused(AdmissionRefusal::UnknownService),
+        }
+    }
+}
--- a/crates/calls/src/batch_end.rs
+++ b/crates/calls/src/batch_end.rs
@@ -1,10 +1,11 @@
-use medlarspool_types::CallId;
-
 /// How a transaction of claims ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BatchEnd {
-    /// Nothing was written, because the conditions of these tries' writes did not hold.
-    Conflict(Vec<CallId>),
+    /// Nothing was written, because the condition on this row did not hold.
+    Conflict {
+        /// The row's key.
+        key: String,
+    },
     /// The store certainly did not take it.
     Down,
     /// The store may have taken it.
--- a/crates/calls/src/call_settings.rs
+++ b/crates/calls/src/call_settings.rs
@@ -13,6 +13,10 @@
     pub claim_interval: Duration,
     /// How long an idempotency key is valid after the time that it carries.
     pub claim_lifetime: Duration,
+    /// The time between two sweeps of old claim rows, over the whole fleet.
+    pub claim_sweep_interval: Duration,
+    /// The most claim rows that one sweep reads and deletes.
+    pub claim_sweep_rows: usize,
     /// How often a claim write of unknown outcome is settled and repeated before it is given up.
     pub claim_tries: u32,
     /// The most that two machines' system clocks differ; it guards the end of a key's lifetime.
@@ -67,6 +71,8 @@
             claim_batch_rows: 50,
             claim_interval: Duration::from_millis(60),
             claim_lifetime: Duration::from_hours(24),
+            claim_sweep_interval: Duration::from_secs(1),
+            claim_sweep_rows: 400,
             claim_tries: 3,
             clock_skew_limit: Duration::from_mins(5),
             crash_publish_timeout: Duration::from_millis(500),
--- a/crates/calls/src/claim_batch.rs
+++ b/crates/calls/src/claim_batch.rs
@@ -59,8 +59,7 @@
         if !due || !self.flying.is_empty() || self.waiting.is_empty() {
             return None;
         }
-        let rows = self.rows.min(self.waiting.len());
-        self.flying = self.waiting.drain(..rows).collect();
+        self.flying = self.take_batch();
         self.next_start = Some(now + self.interval);
         Some(&self.flying)
     }
@@ -71,7 +70,7 @@
     pub fn finish(&mut self, now: Instant, end: &BatchEnd) -> Vec<ClaimResult> {
         let flown = std::mem::take(&mut self.flying);
         let commit = match end {
-            BatchEnd::Conflict(losers) => return self.part(flown, losers),
+            BatchEnd::Conflict { key } => return self.part(flown, key),
             BatchEnd::Down => {
                 self.down_until = Some(now + STORE_DOWN);
                 ClaimCommit::Down
@@ -95,27 +94,40 @@
         self.next_start
     }
 
-    fn part(
-        &mut self,
-        flown: Vec<ClaimWrite>,
-        losers: &[medlarspool_types::CallId],
-    ) -> Vec<ClaimResult> {
+    /// Takes the next writes, at most one to a row.
+    fn take_batch(&mut self) -> Vec<ClaimWrite> {
+        let mut batch: Vec<ClaimWrite> = Vec::new();
+        let mut left = VecDeque::new();
+        for write in self.waiting.drain(..) {
+            let is_free = batch.iter().all(|other| other.key != write.key);
+            if is_free && batch.len() < self.rows {
+                batch.push(write);
+            } else {
+                left.push_back(write);
+            }
+        }
+        self.waiting = left;
+        batch
+    }
+
+    /// Gives up the writes to the row in conflict, or all if none of them is to that row.
+    fn part(&mut self, flown: Vec<ClaimWrite>, key: &str) -> Vec<ClaimResult> {
+        let is_ours = flown.iter().any(|write| write.key == key);
         let mut results = Vec::new();
         for write in flown.into_iter().rev() {
-            if losers.is_empty() || losers.contains(&write.attempt()) {
+            if !is_ours || write.key == key {
                 results.push(result(&write, ClaimCommit::Conflict));
             } else {
                 self.waiting.push_front(write);
             }
         }
-        results.reverse();
         results
     }
 }
 
 fn result(write: &ClaimWrite, commit: ClaimCommit) -> ClaimResult {
     ClaimResult {
-        attempt: write.attempt(),
+        attempt: write.attempt,
         commit,
     }
 }
--- a/crates/calls/src/claim_key.rs
+++ b/crates/calls/src/claim_key.rs
@@ -4,8 +4,8 @@
 
 use crate::CallError;
 
-/// The width of a table partition of claims.
-const PARTITION: Duration = Duration::from_hours(1);
+/// The width of the time range that a row key begins with.
+const HOUR_MS: u64 = 60 * 60 * 1_000;
 
 /// An idempotency key within its customer and service.
 ///
@@ -20,6 +20,9 @@
 }
 
 impl ClaimKey {
+    /// What all row keys of claims begin with.
+    pub const PREFIX: &str = "claims/";
+
     /// Reads the caller's key.
     ///
     /// # Errors
@@ -45,40 +48,29 @@
         SystemTime::UNIX_EPOCH + Duration::from_millis(self.made_ms)
     }
 
-    /// Returns the table partition of the row, which names the hour of the key so that old rows are
-    /// found without reading new ones.
-    #[must_use]
-    pub fn partition(&self) -> String {
-        Self::partition_of(self.made())
-    }
-
-    /// Returns the name of the row within its partition.
-    #[must_use]
-    pub fn row(&self) -> String {
-        format!("{}/{}/{:032x}", self.customer, self.service, self.uuid)
-    }
-
-    /// Returns the partition of keys made at a time.
+    /// Returns the key of the row, which begins with the hour in which the idempotency key was made,
+    /// so that the oldest rows are found first.
     #[must_use]
-    pub fn partition_of(made: SystemTime) -> String {
-        format!("claims-{}", partition_number(made))
+    pub fn row_key(&self) -> String {
+        let hour = self.made_ms / HOUR_MS;
+        format!(
+            "{}{hour:08}/{}/{}/{:032x}",
+            Self::PREFIX,
+            self.customer,
+            self.service,
+            self.uuid
+        )
     }
 
-    /// Returns the end of the partition of keys made at a time.
-    #[must_use]
-    pub(crate) fn partition_end(made: SystemTime) -> SystemTime {
-        let seconds = (partition_number(made) + 1) * PARTITION.as_secs();
-        SystemTime::UNIX_EPOCH + Duration::from_secs(seconds)
+    /// Returns the end of the hour that a row key begins with.
+    pub(crate) fn partition_end(row_key: &str) -> Option<SystemTime> {
+        let hour = row_key.strip_prefix(Self::PREFIX)?.split('/').next()?;
+        let hour: u64 = hour.parse().ok()?;
+        let end = Duration::from_millis(hour.checked_add(1)?.checked_mul(HOUR_MS)?);
+        SystemTime::UNIX_EPOCH.checked_add(end)
     }
 }
 
-fn partition_number(made: SystemTime) -> u64 {
-    let since_epoch = made
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default();
-    since_epoch.as_secs() / PARTITION.as_secs()
-}
-
 fn parse_uuid_v7(text: &str) -> Option<u128> {
     const HYPHENS: [usize; 4] = [8, 13, 18, 23];
     let hyphenated = text.len() == 36 && HYPHENS.iter().all(|&at| text.as_bytes()[at] == b'-');
--- a/crates/calls/src/claim_policy.rs
+++ b/crates/calls/src/claim_policy.rs
@@ -1,9 +1,8 @@
 use std::time::SystemTime;
 
-use medlarspool_types::CallId;
-
 use crate::{
-    CallSettings, ClaimCommit, ClaimKey, ClaimRow, ClaimStep, ClaimWrite, Fate, RefusalReason,
+    CallSettings, ClaimCommit, ClaimHolder, ClaimKey, ClaimRow, ClaimStep, ClaimWrite, Fate,
+    RefusalReason,
 };
 
 /// Leads one try of a keyed request to its claim, or to the fate of the try that holds the key.
@@ -14,7 +13,7 @@
 pub struct ClaimPolicy {
     key: ClaimKey,
     own: ClaimRow,
-    replaces: Option<CallId>,
+    replaces: Option<u64>,
     tries_left: u32,
 }
 
@@ -53,21 +52,19 @@
     ///
     /// An absent row does not settle a write of unknown outcome, which may still take effect; but
     /// whoever then finds it is told by this gate that the try did not run.
-    pub fn on_read<A>(&mut self, row: Option<ClaimRow>) -> ClaimStep<A> {
-        match row {
-            None => {
-                self.replaces = None;
-                self.write()
-            }
-            Some(row) if row.attempt == self.own.attempt => ClaimStep::Run,
-            Some(row) if row.fingerprint != self.own.fingerprint => {
-                ClaimStep::Refuse(RefusalReason::KeyConflict)
-            }
-            Some(row) => {
-                self.replaces = Some(row.attempt);
-                ClaimStep::AskOwner(row)
-            }
+    pub fn on_read<A>(&mut self, holder: Option<ClaimHolder>) -> ClaimStep<A> {
+        let Some(holder) = holder else {
+            self.replaces = None;
+            return self.write();
+        };
+        if holder.row.attempt == self.own.attempt {
+            return ClaimStep::Run;
+        }
+        if holder.row.fingerprint != self.own.fingerprint {
+            return ClaimStep::Refuse(RefusalReason::KeyConflict);
         }
+        self.replaces = Some(holder.etag);
+        ClaimStep::AskOwner(holder.row)
     }
 
     /// Takes in that the row could not be read.
@@ -87,13 +84,25 @@
         }
     }
 
-    /// Returns the write that gives the key back after this try was refused.
+    /// Returns the write that gives the key back after this try was refused, given the row as read.
+    ///
+    /// It is only a courtesy to the key's next use: if it is lost, this gate's fate table still
+    /// tells that the try did not run.
     #[must_use]
-    pub fn release(&self) -> ClaimWrite {
-        ClaimWrite::Release {
+    pub fn release(&self, holder: &ClaimHolder) -> Option<ClaimWrite> {
+        let is_own = holder.row.attempt == self.own.attempt;
+        is_own.then(|| ClaimWrite {
             attempt: self.own.attempt,
-            key: self.key.clone(),
-        }
+            etag: Some(holder.etag),
+            key: self.key.row_key(),
+            value: None,
+        })
+    }
+
+    /// Returns the key.
+    #[must_use]
+    pub const fn key(&self) -> &ClaimKey {
+        &self.key
     }
 
     fn write<A>(&mut self) -> ClaimStep<A> {
@@ -101,10 +110,11 @@
             return ClaimStep::Refuse(RefusalReason::StoreDown);
         }
         self.tries_left -= 1;
-        ClaimStep::Write(ClaimWrite::Claim {
-            key: self.key.clone(),
-            replaces: self.replaces,
-            row: self.own.clone(),
+        ClaimStep::Write(ClaimWrite {
+            attempt: self.own.attempt,
+            etag: self.replaces,
+            key: self.key.row_key(),
+            value: Some(self.own.to_string()),
         })
     }
 }
--- a/crates/calls/src/claim_sweep.rs
+++ b/crates/calls/src/claim_sweep.rs
@@ -1,33 +1,48 @@
-use std::time::SystemTime;
+use std::time::{Duration, Instant, SystemTime};
+
+use fastrand::Rng;
 
 use crate::{CallSettings, ClaimKey};
 
-/// Finds the partitions of claim rows whose keys are all past their lifetime.
+/// Finds the claim rows to delete, and when to look.
 ///
-/// A partition is due when its last key is refused by every gate, however much their clocks differ
-/// within the limit. Rows are deleted a page at a time by whoever holds the sweep's lease.
+/// Rows are kept in the order of their keys' times, so one read of the first rows finds the oldest.
+/// The daemons share one fixed rate of sweeps, so its cost does not grow with the fleet and nobody
+/// is elected.
 #[derive(Clone, Debug)]
 pub struct ClaimSweep {
-    next: SystemTime,
+    next: Instant,
 }
 
 impl ClaimSweep {
-    /// Starts with the partition of keys made at `oldest`.
+    /// The prefix under which the rows are read.
+    pub const PREFIX: &str = ClaimKey::PREFIX;
+
+    /// Starts with a first sweep at a random time.
     #[must_use]
-    pub const fn new(oldest: SystemTime) -> Self {
-        Self { next: oldest }
+    pub fn new(now: Instant, settings: &CallSettings, daemons: u32, random: &mut Rng) -> Self {
+        let mut sweep = Self { next: now };
+        sweep.plan(now, settings, daemons, random);
+        sweep
     }
 
-    /// Returns the partition to delete rows of now, if one is due.
+    /// Returns when to read the first [`CallSettings::claim_sweep_rows`] rows.
     #[must_use]
-    pub fn due(&self, now: SystemTime, settings: &CallSettings) -> Option<String> {
-        let end = ClaimKey::partition_end(self.next);
-        let refused = end + settings.claim_lifetime + settings.clock_skew_limit;
-        (refused <= now).then(|| ClaimKey::partition_of(self.next))
+    pub const fn next_wakeup(&self) -> Instant {
+        self.next
     }
 
-    /// Takes in that the due partition is empty.
-    pub fn emptied(&mut self) {
-        self.next = ClaimKey::partition_end(self.next);
+    /// Plans the next sweep, given how many daemons share the rate.
+    pub fn plan(&mut self, now: Instant, settings: &CallSettings, daemons: u32, random: &mut Rng) {
+        let mean: Duration = settings.claim_sweep_interval * daemons.max(1);
+        self.next = now + mean.mul_f64(0.5 + random.f64());
+    }
+
+    /// Returns whether a row may be deleted: every gate refuses its key, however much their clocks
+    /// differ within the limit.
+    #[must_use]
+    pub fn is_due(key: &str, now: SystemTime, settings: &CallSettings) -> bool {
+        ClaimKey::partition_end(key)
+            .is_some_and(|end| end + settings.claim_lifetime + settings.clock_skew_limit <= now)
     }
 }
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing here opens a socket, starts a thread or reads a clock: each decision takes `now` and,
 //! where it draws lots, a seeded generator. See `docs/design/calls.md`.
 
+mod admission;
+mod admission_refusal;
 mod announced_upstream;
 mod arrival;
 mod batch_end;
@@ -13,6 +15,7 @@
 mod choice;
 mod claim_batch;
 mod claim_commit;
+mod claim_holder;
 mod claim_key;
 mod claim_policy;
 mod claim_result;
@@ -58,20 +61,22 @@
 mod upstream_table;
 
 pub use crate::{
+    admission::Admission, admission_refusal::AdmissionRefusal,
     announced_upstream::AnnouncedUpstream, arrival::Arrival, batch_end::BatchEnd,
     call_error::CallError, call_outcome::CallOutcome, call_settings::CallSettings,
     channel_id::ChannelId, choice::Choice, claim_batch::ClaimBatch, claim_commit::ClaimCommit,
-    claim_key::ClaimKey, claim_policy::ClaimPolicy, claim_result::ClaimResult, claim_row::ClaimRow,
-    claim_step::ClaimStep, claim_sweep::ClaimSweep, claim_write::ClaimWrite, crash_id::CrashId,
-    crash_publication::CrashPublication, decision::Decision, decision_log::DecisionLog,
-    decision_reason::DecisionReason, ejection::Ejection, failed_try::FailedTry,
-    fair_queue::FairQueue, fate::Fate, fate_question::FateQuestion, fate_reply::FateReply,
-    fate_table::FateTable, fingerprint::Fingerprint, gate::Gate, gate_action::GateAction,
-    gate_work::GateWork, give_up_reason::GiveUpReason, idempotency::Idempotency,
-    load_report::LoadReport, quarantine::Quarantine, quarantine_check::QuarantineCheck,
-    quarantine_notice::QuarantineNotice, question_kind::QuestionKind, refusal::Refusal,
-    refusal_reason::RefusalReason, request_context::RequestContext, retry_budget::RetryBudget,
-    retry_decision::RetryDecision, retry_policy::RetryPolicy, run_end::RunEnd,
-    service_time::ServiceTime, slot::Slot, upstream::Upstream, upstream_pool::UpstreamPool,
-    upstream_standing::UpstreamStanding, upstream_table::UpstreamTable,
+    claim_holder::ClaimHolder, claim_key::ClaimKey, claim_policy::ClaimPolicy,
+    claim_result::ClaimResult, claim_row::ClaimRow, claim_step::ClaimStep, claim_sweep::ClaimSweep,
+    claim_write::ClaimWrite, crash_id::CrashId, crash_publication::CrashPublication,
+    decision::Decision, decision_log::DecisionLog, decision_reason::DecisionReason,
+    ejection::Ejection, failed_try::FailedTry, fair_queue::FairQueue, fate::Fate,
+    fate_question::FateQuestion, fate_reply::FateReply, fate_table::FateTable,
+    fingerprint::Fingerprint, gate::Gate, gate_action::GateAction, gate_work::GateWork,
+    give_up_reason::GiveUpReason, idempotency::Idempotency, load_report::LoadReport,
+    quarantine::Quarantine, quarantine_check::QuarantineCheck, quarantine_notice::QuarantineNotice,
+    question_kind::QuestionKind, refusal::Refusal, refusal_reason::RefusalReason,
+    request_context::RequestContext, retry_budget::RetryBudget, retry_decision::RetryDecision,
+    retry_policy::RetryPolicy, run_end::RunEnd, service_time::ServiceTime, slot::Slot,
+    upstream::Upstream, upstream_pool::UpstreamPool, upstream_standing::UpstreamStanding,
+    upstream_table::UpstreamTable,
 };
--- a/crates/calls/src/service_time.rs
+++ b/crates/calls/src/service_time.rs
@@ -28,6 +28,13 @@
         self.mean
     }
 
+    /// Returns whether the last sample, if any, lies further back than `age`.
+    #[must_use]
+    pub fn is_older_than(&self, now: Instant, age: Duration) -> bool {
+        self.last
+            .is_none_or(|last| now.saturating_duration_since(last) > age)
+    }
+
     /// Returns the mean, halved for each `half_life` that passed since the last sample.
     #[must_use]
     pub fn aged(&self, now: Instant, half_life: Duration) -> Duration {
--- a/crates/calls/src/upstream.rs
+++ b/crates/calls/src/upstream.rs
@@ -10,6 +10,9 @@
 /// The share of calls that an upstream gets when it has just come up.
 const RAMP_START: f64 = 0.1;
 
+/// The age at which a measured time is taken for unknown.
+const MEASURE_AGAIN: Duration = Duration::from_secs(10);
+
 /// What an entry knows of one upstream: what it was told and what it measured itself.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -102,6 +105,12 @@
         told.max(measured).div_f64(self.ramp(now, settings))
     }
 
+    /// Returns whether no call has lately shown how fast it is.
+    #[must_use]
+    pub fn is_unmeasured(&self, now: Instant) -> bool {
+        self.call_time.is_older_than(now, MEASURE_AGAIN)
+    }
+
     /// Counts a call given to it.
     pub fn send(&mut self) {
         self.outstanding += 1;
--- a/crates/calls/src/upstream_pool.rs
+++ b/crates/calls/src/upstream_pool.rs
@@ -14,6 +14,10 @@
 /// How often a candidate is drawn before the draw is given up.
 const DRAWS: usize = 4;
 
+/// One in this many calls goes to an upstream in another availability zone that was not measured
+/// lately, since its speed can't be known otherwise.
+const EXPLORE_ONE_IN: u32 = 64;
+
 /// The upstreams of one service, those of the own availability zone first.
 #[derive(Debug, Default)]
 pub struct UpstreamPool {
@@ -132,13 +136,19 @@
         tried: &[InstanceId],
     ) -> Option<usize> {
         let all = self.upstreams.len();
-        let mut draw = |from, to, other| self.draw(now, random, from..to, tried, other);
+        let mut draw = |from, to, other| self.draw(now, &mut *random, from..to, tried, other);
         let first_local = draw(0, self.local, None);
         let second = match first_local {
             Some(_) => draw(0, self.local, first_local),
             None => draw(self.local, all, None),
         };
         let remote = draw(self.local, all, second);
+        if let Some(place) = remote
+            && self.upstreams[place].is_unmeasured(now)
+            && random.u32(..EXPLORE_ONE_IN) == 0
+        {
+            return remote;
+        }
         let candidates = [first_local, second, remote];
         let cost = |place: &usize| self.cost(now, settings, *place);
         candidates.into_iter().flatten().min_by_key(cost)
--- /dev/null
+++ b/crates/calls/tests/choice.rs
@@ -0,0 +1,222 @@
+//! The choice of upstream: by own evidence too, within bounds, and never one that is leaving.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use medlarspool_calls::{
+    AnnouncedUpstream, CallOutcome, CallSettings, LoadReport, UpstreamPool, UpstreamStanding,
+};
+use medlarspool_types::InstanceId;
+use proptest::prelude::*;
+
+const SLOTS: u32 = 6;
+
+fn instance(number: usize) -> InstanceId {
+    format!("i{number}").parse().unwrap()
+}
+
+fn announced(number: usize) -> AnnouncedUpstream {
+    AnnouncedUpstream {
+        address: "127.0.0.1:9000".parse().unwrap(),
+        availability_zone: "a".parse().unwrap(),
+        instance: instance(number),
+        slots: SLOTS,
+    }
+}
+
+struct Entry {
+    now: Instant,
+    pool: UpstreamPool,
+    random: Rng,
+    settings: CallSettings,
+}
+
+impl Entry {
+    /// Makes an entry that has known its upstreams for long; the first `local` are in its zone.
+    fn new(upstreams: usize, local: usize) -> Self {
+        let start = Instant::now();
+        let mut pool = UpstreamPool::default();
+        for number in 0..upstreams {
+            pool.announce(start, announced(number), number < local);
+        }
+        Self {
+            now: start + Duration::from_mins(1),
+            pool,
+            random: Rng::with_seed(7),
+            settings: CallSettings::default(),
+        }
+    }
+
+    fn choose(&mut self, tried: &[InstanceId]) -> Option<InstanceId> {
+        let chosen = self
+            .pool
+            .choose(self.now, &mut self.random, &self.settings, tried);
+        chosen.map(|choice| choice.instance)
+    }
+
+    fn finish(&mut self, instance: &InstanceId, outcome: CallOutcome, report: LoadReport) {
+        self.pool
+            .finish(self.now, instance, outcome, Some(report), &self.settings);
+    }
+
+    /// Sends calls one after the other and returns how many went to each upstream.
+    fn run(
+        &mut self,
+        calls: u32,
+        time: impl Fn(&InstanceId) -> Duration,
+    ) -> BTreeMap<InstanceId, u32> {
+        let mut counts = BTreeMap::new();
+        for _ in 0..calls {
+            let chosen = self.choose(&[]).unwrap();
+            let elapsed = time(&chosen);
+            self.now += Duration::from_millis(2);
+            let outcome = CallOutcome::Answered { elapsed };
+            self.finish(&chosen, outcome, LoadReport::default());
+            *counts.entry(chosen).or_default() += 1;
+        }
+        counts
+    }
+}
+
+#[test]
+fn equal_upstreams_get_equal_shares() {
+    let mut entry = Entry::new(5, 0);
+    let counts = entry.run(5_000, |_| Duration::from_millis(10));
+    assert!(
+        counts.values().all(|count| (800..1_200).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// All reports say "idle"; the slow upstream is found out by the time that its calls take.
+#[test]
+fn a_slow_upstream_that_reports_no_load_gets_few_calls() {
+    let mut entry = Entry::new(4, 0);
+    let slow = instance(2);
+    let time = |chosen: &InstanceId| Duration::from_millis(if *chosen == slow { 100 } else { 10 });
+    let counts = entry.run(4_000, time);
+    let share = counts.get(&slow).copied().unwrap_or(0);
+    assert!((1..200).contains(&share), "{counts:?}");
+}
+
+/// Seen failing first: a remote upstream that was never tried was taken for as slow as the rest.
+#[test]
+fn the_own_zone_goes_first_until_it_is_worse_by_the_link() {
+    let mut entry = Entry::new(4, 2);
+    let equal = entry.run(1_000, |_| Duration::from_millis(10));
+    let local: u32 = [0, 1].iter().filter_map(|n| equal.get(&instance(*n))).sum();
+    assert!(local > 950, "{equal:?}");
+    let mut entry = Entry::new(4, 2);
+    let (first, second) = (instance(0), instance(1));
+    let time = |chosen: &InstanceId| {
+        let is_local = *chosen == first || *chosen == second;
+        Duration::from_millis(if is_local { 40 } else { 10 })
+    };
+    let worse = entry.run(1_000, time);
+    let local: u32 = [0, 1].iter().filter_map(|n| worse.get(&instance(*n))).sum();
+    assert!(local < 300, "{worse:?}");
+}
+
+#[test]
+fn a_dead_upstream_is_ejected_and_tried_again_one_call_at_a_time() {
+    let mut entry = Entry::new(4, 0);
+    let dead = instance(1);
+    let mut failures = 0;
+    for _ in 0..1_000 {
+        let chosen = entry.choose(&[]).unwrap();
+        let outcome = if chosen == dead {
+            failures += 1;
+            CallOutcome::ConnectFailed
+        } else {
+            let elapsed = Duration::from_millis(10);
+            CallOutcome::Answered { elapsed }
+        };
+        entry.finish(&chosen, outcome, LoadReport::default());
+    }
+    assert_eq!(failures, entry.settings.eject_failures);
+    entry.now += entry.settings.eject_shortest;
+    let trials = (0..50).filter(|_| entry.choose(&[]).as_ref() == Some(&dead));
+    assert_eq!(trials.count(), 1);
+}
+
+#[test]
+fn when_all_fail_half_stay_in_the_choice() {
+    let mut entry = Entry::new(6, 3);
+    for _ in 0..500 {
+        let chosen = entry.choose(&[]).unwrap();
+        entry.finish(&chosen, CallOutcome::Lost, LoadReport::default());
+    }
+    let upstreams = entry.pool.upstreams();
+    let ejected = upstreams.iter().filter(|u| u.is_ejected(entry.now));
+    assert_eq!(ejected.count(), 3);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Announce(usize),
+    Choose { tried: usize },
+    Fail(usize),
+    Remove(usize),
+    Stand(usize, u8),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => (0_usize..9).prop_map(Step::Announce),
+        6 => (0_usize..9).prop_map(|tried| Step::Choose { tried }),
+        2 => (0_usize..9).prop_map(Step::Fail),
+        1 => (0_usize..9).prop_map(Step::Remove),
+        2 => (0_usize..9, 0_u8..3).prop_map(|(number, standing)| Step::Stand(number, standing)),
+    ];
+    proptest::collection::vec(step, 1..150)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Upstreams come, go and fail: a choice is always one that is known, not leaving and not
+    /// tried, and there is one whenever such an upstream exists.
+    #[test]
+    fn a_choice_is_allowed_and_made_if_possible(steps in steps()) {
+        let mut entry = Entry::new(0, 0);
+        let mut known: BTreeMap<InstanceId, UpstreamStanding> = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Announce(number) => {
+                    entry.pool.announce(entry.now, announced(number), number % 2 == 0);
+                    known.entry(instance(number)).or_default();
+                }
+                Step::Choose { tried } => {
+                    let tried = [instance(tried)];
+                    let allowed = |i: &InstanceId| {
+                        !tried.contains(i) && known.get(i).is_some_and(|s| *s != UpstreamStanding::Leaving)
+                    };
+                    let chosen = entry.choose(&tried);
+                    prop_assert_eq!(chosen.is_some(), known.keys().any(allowed));
+                    prop_assert!(chosen.iter().all(allowed));
+                }
+                Step::Fail(number) => {
+                    entry.now += Duration::from_millis(300);
+                    entry.finish(&instance(number), CallOutcome::Lost, LoadReport::default());
+                }
+                Step::Remove(number) => {
+                    entry.pool.remove(&instance(number));
+                    known.remove(&instance(number));
+                }
+                Step::Stand(number, standing) => {
+                    let standing = match standing {
+                        0 => UpstreamStanding::Alive,
+                        1 => UpstreamStanding::Leaving,
+                        _ => UpstreamStanding::Suspect,
+                    };
+                    entry.pool.set_standing(&instance(number), standing);
+                    known.entry(instance(number)).and_modify(|s| *s = standing);
+                }
+            }
+            prop_assert_eq!(entry.pool.upstreams().len(), known.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/calls/tests/claims.rs
@@ -0,0 +1,407 @@
+//! Idempotency keys: whatever is lost, late, down or replaced, a keyed request runs at most once.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant, SystemTime},
+};
+
+use medlarspool_calls::{
+    BatchEnd, CallSettings, ChannelId, ClaimBatch, ClaimCommit, ClaimHolder, ClaimKey, ClaimPolicy,
+    ClaimRow, ClaimStep, ClaimSweep, ClaimWrite, Fate, FateQuestion, FateTable, Fingerprint,
+    QuestionKind, RefusalReason, RunEnd,
+};
+use medlarspool_types::{CallId, Incarnation};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// A key made 1,700,000,000 seconds after the epoch.
+const KEY: &str = "018bcfe5-6800-7000-8000-000000000000";
+const KEY_MADE: Duration = Duration::from_secs(1_700_000_000);
+const GATES: usize = 3;
+
+fn key() -> ClaimKey {
+    ClaimKey::parse(&"trust".parse().unwrap(), &"alerts".parse().unwrap(), KEY).unwrap()
+}
+
+fn row(call: u128, gate: usize, life: Incarnation, body: u128) -> ClaimRow {
+    ClaimRow {
+        attempt: CallId(call),
+        fingerprint: Fingerprint(body),
+        gate: format!("gate-{gate}").parse().unwrap(),
+        gate_address: "127.0.0.1:9000".parse().unwrap(),
+        gate_life: life,
+    }
+}
+
+#[rstest]
+#[case::valid(KEY, true)]
+#[case::version_4("018bcfe5-6800-4000-8000-000000000000", false)]
+#[case::wrong_variant("018bcfe5-6800-7000-0000-000000000000", false)]
+#[case::no_hyphens("018bcfe5680070008000000000000000", false)]
+#[case::not_ascii("018bcfe5-6800-7000-8000-00000000000é", false)]
+#[case::empty("", false)]
+fn keys_carry_their_time(#[case] text: &str, #[case] valid: bool) {
+    let parsed = ClaimKey::parse(&"a".parse().unwrap(), &"b".parse().unwrap(), text);
+    assert_eq!(parsed.is_ok(), valid);
+    if let Ok(key) = parsed {
+        assert_eq!(key.made(), SystemTime::UNIX_EPOCH + KEY_MADE);
+    }
+}
+
+#[rstest]
+#[case::fresh(Duration::ZERO, true)]
+#[case::last_moment(Duration::from_hours(24) - Duration::from_millis(1), true)]
+#[case::expired(Duration::from_hours(24), false)]
+fn an_old_key_is_refused_before_its_row_is_swept(#[case] age: Duration, #[case] valid: bool) {
+    let settings = CallSettings::default();
+    let now = SystemTime::UNIX_EPOCH + KEY_MADE + age;
+    let mut policy = ClaimPolicy::new(&settings, key(), row(1, 0, Incarnation(1), 1));
+    let step: ClaimStep<u32> = policy.start(now, &settings);
+    assert_eq!(matches!(step, ClaimStep::Write(_)), valid);
+    let slow_clock = now - settings.clock_skew_limit;
+    let accepted_somewhere = slow_clock < key().made() + settings.claim_lifetime;
+    let swept = ClaimSweep::is_due(&key().row_key(), now, &settings);
+    assert!(!(accepted_somewhere && swept));
+}
+
+#[test]
+fn an_old_row_is_swept_in_the_end() {
+    let settings = CallSettings::default();
+    let now = SystemTime::UNIX_EPOCH + KEY_MADE + Duration::from_hours(26);
+    assert!(ClaimSweep::is_due(&key().row_key(), now, &settings));
+    assert!(!ClaimSweep::is_due("config/head", now, &settings));
+}
+
+#[test]
+fn a_row_reads_back_as_written() {
+    let written = row(u128::MAX, 2, Incarnation(77), 5);
+    assert_eq!(written.to_string().parse(), Ok(written));
+    assert!("1 2 3".parse::<ClaimRow>().is_err());
+}
+
+fn write(call: u128, key: &str) -> ClaimWrite {
+    ClaimWrite {
+        attempt: CallId(call),
+        etag: None,
+        key: key.into(),
+        value: Some(String::new()),
+    }
+}
+
+#[test]
+fn claims_share_a_transaction_and_only_the_loser_conflicts() {
+    let settings = CallSettings::default();
+    let now = Instant::now();
+    let mut batch = ClaimBatch::new(&settings);
+    batch.submit(now, write(0, "a")).unwrap();
+    assert_eq!(batch.start(now).map(<[_]>::len), Some(1));
+    for (call, key) in [(1, "b"), (2, "c"), (3, "c")] {
+        batch.submit(now, write(call, key)).unwrap();
+    }
+    assert_eq!(batch.start(now), None);
+    assert_eq!(batch.finish(now, &BatchEnd::Written)[0].attempt, CallId(0));
+    assert_eq!(batch.start(now), None);
+    let later = batch.next_wakeup().unwrap();
+    assert_eq!(later, now + settings.claim_interval);
+    assert_eq!(batch.start(later).map(<[_]>::len), Some(2));
+    let conflict = BatchEnd::Conflict { key: "b".into() };
+    let results = batch.finish(later, &conflict);
+    assert_eq!(results.len(), 1);
+    assert_eq!(results[0].commit, ClaimCommit::Conflict);
+    let last = batch.next_wakeup().unwrap();
+    let writes: Vec<CallId> = batch
+        .start(last)
+        .unwrap()
+        .iter()
+        .map(|w| w.attempt)
+        .collect();
+    assert_eq!(writes, [CallId(2)]);
+}
+
+#[test]
+fn a_store_that_is_down_refuses_at_once() {
+    let now = Instant::now();
+    let mut batch = ClaimBatch::new(&CallSettings::default());
+    batch.submit(now, write(0, "a")).unwrap();
+    batch.start(now);
+    batch.submit(now, write(1, "b")).unwrap();
+    let results = batch.finish(now, &BatchEnd::Down);
+    assert!(results.iter().all(|r| r.commit == ClaimCommit::Down));
+    assert_eq!(results.len(), 2);
+    let refused = batch.submit(now, write(2, "c"));
+    assert_eq!(refused, Err(RefusalReason::StoreDown));
+    let later = now + Duration::from_secs(1);
+    assert_eq!(batch.submit(later, write(2, "c")), Ok(()));
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Advance(u64),
+    End(usize, u8),
+    LandWrite(usize),
+    Progress(usize, u8),
+    Restart(usize),
+    Send { body: u8, gate: usize },
+}
+
+struct Attempt {
+    gate: usize,
+    policy: ClaimPolicy,
+    row: ClaimRow,
+    state: AttemptState,
+}
+
+#[derive(PartialEq)]
+enum AttemptState {
+    Gone,
+    NotRun,
+    Running,
+    Step(ClaimStep<u32>),
+}
+
+struct World {
+    attempts: Vec<Attempt>,
+    delayed: Vec<ClaimWrite>,
+    gates: Vec<(FateTable<u32>, ChannelId, Incarnation)>,
+    next_etag: u64,
+    now: Instant,
+    runs: u32,
+    settings: CallSettings,
+    table: BTreeMap<String, (u64, String)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let settings = CallSettings {
+            fate_kept: Duration::from_millis(40),
+            fates_kept: 2,
+            ..CallSettings::default()
+        };
+        let mut world = Self {
+            attempts: Vec::new(),
+            delayed: Vec::new(),
+            gates: Vec::new(),
+            next_etag: 1,
+            now: Instant::now(),
+            runs: 0,
+            settings,
+            table: BTreeMap::new(),
+        };
+        for _ in 0..GATES {
+            let gate = world.new_gate(Incarnation(1));
+            world.gates.push(gate);
+        }
+        world
+    }
+
+    fn new_gate(&self, life: Incarnation) -> (FateTable<u32>, ChannelId, Incarnation) {
+        let mut fates = FateTable::new(&self.settings, life, self.now);
+        let channel = fates.open_channel();
+        (fates, channel, life)
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Advance(ms) => self.now += Duration::from_millis(ms),
+            Event::End(pick, end) if !self.attempts.is_empty() => {
+                self.end(pick % self.attempts.len(), end);
+            }
+            Event::LandWrite(pick) if !self.delayed.is_empty() => {
+                let write = self.delayed.swap_remove(pick % self.delayed.len());
+                self.store(&write);
+            }
+            Event::Progress(pick, fault) if !self.attempts.is_empty() => {
+                self.progress(pick % self.attempts.len(), fault);
+            }
+            Event::Restart(gate) => self.restart(gate),
+            Event::Send { body, gate } => self.send(body, gate),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, body: u8, gate: usize) {
+        let (fates, channel, life) = &mut self.gates[gate];
+        let row = row(self.attempts.len() as u128, gate, *life, u128::from(body));
+        fates.arrive(self.now, row.attempt, *channel);
+        let mut policy = ClaimPolicy::new(&self.settings, key(), row.clone());
+        let now = SystemTime::UNIX_EPOCH + KEY_MADE;
+        let step = policy.start(now, &self.settings);
+        self.attempts.push(Attempt {
+            gate,
+            policy,
+            row,
+            state: AttemptState::Step(step),
+        });
+    }
+
+    /// A run whose process dies may have run, so it counts.
+    fn restart(&mut self, gate: usize) {
+        let life = self.gates[gate].2.next();
+        self.gates[gate] = self.new_gate(life);
+        for attempt in &mut self.attempts {
+            if attempt.gate == gate {
+                self.runs += u32::from(attempt.state == AttemptState::Running);
+                attempt.state = AttemptState::Gone;
+            }
+        }
+    }
+
+    fn end(&mut self, at: usize, end: u8) {
+        let attempt = &mut self.attempts[at];
+        if attempt.state != AttemptState::Running {
+            return;
+        }
+        let end = match end {
+            0 => RunEnd::Lost,
+            1 => RunEnd::NotSent,
+            _ => RunEnd::Answered {
+                answer: 1,
+                answer_bytes: 1,
+            },
+        };
+        self.runs += u32::from(end != RunEnd::NotSent);
+        attempt.state = AttemptState::Gone;
+        let fates = &mut self.gates[attempt.gate].0;
+        fates.finish(self.now, attempt.row.attempt, end);
+    }
+
+    fn progress(&mut self, at: usize, fault: u8) {
+        let AttemptState::Step(step) = &self.attempts[at].state else {
+            return;
+        };
+        let next = match step.clone() {
+            ClaimStep::AskOwner(row) | ClaimStep::Wait(row) => {
+                let fate = self.ask(&row, fault);
+                self.attempts[at].policy.on_fate(row, fate)
+            }
+            ClaimStep::Earlier(_) | ClaimStep::Refuse(_) => {
+                let attempt = &mut self.attempts[at];
+                self.gates[attempt.gate].0.fence(attempt.row.attempt);
+                attempt.state = AttemptState::NotRun;
+                return;
+            }
+            ClaimStep::Read if fault == 1 => self.attempts[at].policy.on_read_failed(),
+            ClaimStep::Read => {
+                let holder = self.read();
+                self.attempts[at].policy.on_read(holder)
+            }
+            ClaimStep::Run => {
+                let attempt = &mut self.attempts[at];
+                let fates = &mut self.gates[attempt.gate].0;
+                attempt.state = if fates.start(attempt.row.attempt) {
+                    AttemptState::Running
+                } else {
+                    AttemptState::NotRun
+                };
+                return;
+            }
+            ClaimStep::Write(write) => {
+                let commit = self.commit(write, fault);
+                self.attempts[at].policy.on_commit(commit)
+            }
+        };
+        self.attempts[at].state = AttemptState::Step(next);
+    }
+
+    fn ask(&mut self, row: &ClaimRow, fault: u8) -> Fate<u32> {
+        let gate: usize = row.gate.as_str()[5..].parse().unwrap();
+        if fault == 1 {
+            return Fate::MayHaveRun;
+        }
+        let question = FateQuestion {
+            call: row.attempt,
+            channel: ChannelId {
+                gate_life: row.gate_life,
+                number: 0,
+            },
+            kind: QuestionKind::Inquire,
+        };
+        self.gates[gate].0.ask(self.now, &question).fate
+    }
+
+    fn read(&self) -> Option<ClaimHolder> {
+        let (etag, value) = self.table.get(&key().row_key())?;
+        Some(ClaimHolder {
+            etag: *etag,
+            row: value.parse().unwrap(),
+        })
+    }
+
+    fn commit(&mut self, write: ClaimWrite, fault: u8) -> ClaimCommit {
+        match fault {
+            1 => ClaimCommit::Down,
+            2 => {
+                self.store(&write);
+                ClaimCommit::Unknown
+            }
+            3 => {
+                self.delayed.push(write);
+                ClaimCommit::Unknown
+            }
+            _ if self.store(&write) => ClaimCommit::Written,
+            _ => ClaimCommit::Conflict,
+        }
+    }
+
+    fn store(&mut self, write: &ClaimWrite) -> bool {
+        let held = self.table.get(&write.key).map(|(etag, _)| *etag);
+        if held != write.etag {
+            return false;
+        }
+        let value = write.value.clone().unwrap();
+        self.table
+            .insert(write.key.clone(), (self.next_etag, value));
+        self.next_etag += 1;
+        true
+    }
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let fault = prop_oneof![4 => Just(0_u8), 1 => Just(1_u8), 1 => Just(2_u8), 2 => Just(3_u8)];
+    let event = prop_oneof![
+        2 => (1_u64..30).prop_map(Event::Advance),
+        4 => (any::<usize>(), 0_u8..3).prop_map(|(pick, end)| Event::End(pick, end)),
+        2 => any::<usize>().prop_map(Event::LandWrite),
+        16 => (any::<usize>(), fault).prop_map(|(pick, fault)| Event::Progress(pick, fault)),
+        1 => (0..GATES).prop_map(Event::Restart),
+        4 => (0_u8..8, 0..GATES)
+            .prop_map(|(body, gate)| Event::Send { body: body / 7, gate }),
+    ];
+    proptest::collection::vec(event, 1..200)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// Many sends of one key at three gates, in any order, with writes lost, late or of unknown
+    /// outcome and gates replaced: it runs at most once.
+    #[test]
+    fn a_key_runs_at_most_once(events in events()) {
+        let mut world = World::new();
+        for event in &events {
+            world.apply(event);
+            let running = world.attempts.iter().filter(|a| a.state == AttemptState::Running);
+            let running = u32::try_from(running.count()).unwrap();
+            prop_assert!(world.runs + running <= 1, "{} ran, {running} run", world.runs);
+        }
+    }
+}
+
+/// Without faults every send of a key ends, and exactly one runs.
+#[test]
+fn one_of_two_sends_at_once_runs() {
+    let mut world = World::new();
+    world.send(0, 0);
+    world.send(0, 1);
+    for _ in 0..10 {
+        for at in [1, 0] {
+            world.progress(at, 0);
+        }
+    }
+    world.end(1, 2);
+    for _ in 0..10 {
+        world.progress(0, 0);
+    }
+    assert_eq!(world.runs, 1);
+    assert!(world.attempts[0].state == AttemptState::NotRun);
+}
--- /dev/null
+++ b/crates/calls/tests/retry.rs
@@ -0,0 +1,132 @@
+//! Retries: only where they do no harm, within the deadline and the budget.
+
+use std::time::{Duration, Instant};
+
+use medlarspool_calls::{
+    CallSettings, FailedTry, GiveUpReason, Idempotency, RequestContext, RetryBudget, RetryDecision,
+    RetryPolicy,
+};
+use medlarspool_types::{CallId, ConfigVersion, Verdict};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use Idempotency::{Idempotent, NonIdempotent};
+use Verdict::{MayHaveRun, NotRun, Ran};
+
+fn failed(now: Instant, verdict: Verdict, idempotency: Idempotency) -> FailedTry {
+    FailedTry {
+        deadline: now + Duration::from_secs(1),
+        expected: Duration::from_millis(10),
+        idempotency,
+        other_upstream_may: true,
+        retry_after: None,
+        retries_left: 2,
+        tries: 1,
+        verdict,
+    }
+}
+
+fn decide(now: Instant, failed: &FailedTry) -> Option<GiveUpReason> {
+    let settings = CallSettings::default();
+    let mut budget = RetryBudget::new(&settings);
+    let mut random = fastrand::Rng::with_seed(1);
+    match RetryPolicy::new(&settings).decide(now, failed, &mut budget, &mut random) {
+        RetryDecision::GiveUp { reason, .. } => Some(reason),
+        RetryDecision::Retry { .. } => None,
+    }
+}
+
+#[rstest]
+#[case::not_run(NotRun, NonIdempotent, None)]
+#[case::not_run_idempotent(NotRun, Idempotent, None)]
+#[case::may_have_run(MayHaveRun, NonIdempotent, Some(GiveUpReason::MayHaveRun))]
+#[case::may_have_run_idempotent(MayHaveRun, Idempotent, None)]
+#[case::ran(Ran, Idempotent, Some(GiveUpReason::Ran))]
+fn the_verdict_decides(
+    #[case] verdict: Verdict,
+    #[case] idempotency: Idempotency,
+    #[case] expected: Option<GiveUpReason>,
+) {
+    let now = Instant::now();
+    assert_eq!(decide(now, &failed(now, verdict, idempotency)), expected);
+}
+
+#[rstest]
+#[case("GET", Idempotent)]
+#[case("PUT", Idempotent)]
+#[case("DELETE", Idempotent)]
+#[case("POST", NonIdempotent)]
+#[case("PATCH", NonIdempotent)]
+#[case("get", NonIdempotent)]
+fn methods_are_idempotent_by_rfc_9110(#[case] method: &str, #[case] expected: Idempotency) {
+    assert_eq!(Idempotency::of_method(method), expected);
+}
+
+#[test]
+fn a_retry_must_fit_the_deadline_the_tries_and_the_refusal() {
+    let now = Instant::now();
+    let mut late = failed(now, NotRun, Idempotent);
+    late.deadline = now + Duration::from_millis(10);
+    assert_eq!(decide(now, &late), Some(GiveUpReason::DeadlineTooClose));
+    let mut spent = failed(now, NotRun, Idempotent);
+    spent.tries = 3;
+    assert_eq!(decide(now, &spent), Some(GiveUpReason::TriesSpent));
+    let mut refused = failed(now, NotRun, Idempotent);
+    refused.other_upstream_may = false;
+    assert_eq!(decide(now, &refused), Some(GiveUpReason::Final));
+    let mut below = failed(now, MayHaveRun, Idempotent);
+    below.retries_left = 0;
+    assert_eq!(decide(now, &below), Some(GiveUpReason::TriesSpent));
+}
+
+#[test]
+fn a_context_reads_back_as_written() {
+    let context = RequestContext {
+        depth: 0,
+        parent: None,
+        remaining: Duration::from_millis(1_500),
+        retries_left: 2,
+        version: ConfigVersion(9),
+    };
+    assert_eq!(context.to_string().parse(), Ok(context));
+    let next = context.next_hop(CallId(5), Duration::from_secs(2));
+    assert_eq!(next.remaining, Duration::ZERO);
+    assert_eq!(next.depth, 1);
+    assert_eq!(next.to_string().parse(), Ok(next));
+    assert!("1;2;3".parse::<RequestContext>().is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever fails, retries stay within the burst and the share of calls.
+    #[test]
+    fn the_budget_bounds_retries(calls in proptest::collection::vec(0_u8..4, 1..2_000)) {
+        let settings = CallSettings::default();
+        let mut budget = RetryBudget::new(&settings);
+        let mut retries = 0;
+        for wanted in &calls {
+            budget.pay_in();
+            retries += (0..*wanted).filter(|_| budget.take()).count();
+        }
+        let paid_in = calls.len() * settings.retry_per_mille as usize / 1_000;
+        prop_assert!(retries <= paid_in + settings.retry_burst as usize);
+    }
+
+    /// A retry never starts so late that it can't be answered in time, and waits within its bound.
+    #[test]
+    fn a_retry_fits_the_deadline(left_ms in 0_u64..2_000, tries in 1_u32..3, seed: u64) {
+        let settings = CallSettings::default();
+        let now = Instant::now();
+        let mut attempt = failed(now, NotRun, Idempotent);
+        attempt.deadline = now + Duration::from_millis(left_ms);
+        attempt.tries = tries;
+        let mut budget = RetryBudget::new(&settings);
+        let mut random = fastrand::Rng::with_seed(seed);
+        let decision = RetryPolicy::new(&settings).decide(now, &attempt, &mut budget, &mut random);
+        if let RetryDecision::Retry { after, .. } = decision {
+            prop_assert!(now + after + attempt.expected < attempt.deadline);
+            prop_assert!(after <= settings.retry_backoff_longest);
+        }
+    }
+}
