Let the retry share travel with the request

Cause: a share at each hop multiplies 8 deep: 1.09 to the 8th is 1.99. Change: the first entry grants one share; an entry whose retries are saved up passes it on, so it reaches the hop that fails. Conclusion: retries of all hops together are bounded by one share of the calls at the first entry, plus each hop's burst.

--- a/crates/calls/src/failed_try.rs
+++ b/crates/calls/src/failed_try.rs
@@ -17,9 +17,6 @@
     pub other_upstream_may: bool,
     /// How long the gate asked to stay away, if it answered.
     pub retry_after: Option<Duration>,
-    /// The retries after "may have run" that the request still has; see
-    /// [`crate::RequestContext::retries_left`].
-    pub retries_left: u32,
     /// How many tries were made at this hop, with this one.
     pub tries: u32,
     /// What is known of this try; "may have run" also stands for all tries before it.
--- a/crates/calls/src/request_context.rs
+++ b/crates/calls/src/request_context.rs
@@ -9,7 +9,7 @@
 
 /// What travels with a request from hop to hop, also through the upstreams' own code.
 ///
-/// It is one header of the form `deadline-ms;depth;retries;version;parent`. Times are relative, so
+/// It is one header of the form `deadline-ms;depth;retry-per-mille;version;parent`. Times are relative, so
 /// no two clocks are compared.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequestContext {
@@ -19,8 +19,8 @@
     pub parent: Option<CallId>,
     /// The time left until the first caller stops waiting.
     pub remaining: Duration,
-    /// How many retries after "may have run" are left to this hop and those below it.
-    pub retries_left: u32,
+    /// The share of a retry that the hops from here on may save up; see [`crate::RetryBudget`].
+    pub retry_per_mille: u32,
     /// The configuration version by which the request was admitted.
     pub version: ConfigVersion,
 }
@@ -53,7 +53,7 @@
         write!(
             formatter,
             "{remaining_ms};{};{};{};",
-            self.depth, self.retries_left, self.version
+            self.depth, self.retry_per_mille, self.version
         )?;
         match self.parent {
             Some(parent) => parent.fmt(formatter),
@@ -74,7 +74,7 @@
     let mut fields = text.trim().split(';');
     let remaining_ms = fields.next()?.parse().ok()?;
     let depth = fields.next()?.parse().ok()?;
-    let retries_left = fields.next()?.parse().ok()?;
+    let retry_per_mille = fields.next()?.parse().ok()?;
     let version = fields.next()?.parse().ok()?;
     let parent = match fields.next()? {
         "" => None,
@@ -87,7 +87,7 @@
         depth,
         parent,
         remaining: Duration::from_millis(remaining_ms),
-        retries_left,
+        retry_per_mille,
         version: ConfigVersion(version),
     })
 }
--- a/crates/calls/src/retry_decision.rs
+++ b/crates/calls/src/retry_decision.rs
@@ -12,11 +12,9 @@
         /// When the caller may usefully come back.
         retry_after: Duration,
     },
-    /// Try again, at another upstream if there is one.
+    /// Try again, at another upstream if there is one, with a retry share of 0.
     Retry {
         /// How long to wait first.
         after: Duration,
-        /// The [`crate::RequestContext::retries_left`] that the new try carries.
-        retries_left: u32,
     },
 }
--- a/crates/calls/src/retry_policy.rs
+++ b/crates/calls/src/retry_policy.rs
@@ -11,8 +11,8 @@
 /// Decides whether a failed request is tried again.
 ///
 /// "Not run" may be tried again whatever the method, "may have run" only if the request is
-/// idempotent. Below a retry after "may have run" there is none of its kind, since each of those
-/// would multiply with the ones above it. See `docs/design/calls.md`.
+/// idempotent. An answer that tells of an error is an answer, and is never tried again here. See
+/// `docs/design/calls.md`.
 #[derive(Clone, Debug)]
 pub struct RetryPolicy {
     backoff_longest: Duration,
@@ -47,10 +47,7 @@
                 reason,
                 retry_after: failed.retry_after.unwrap_or(RETRY_AFTER),
             },
-            None => RetryDecision::Retry {
-                after,
-                retries_left: retries_below(failed),
-            },
+            None => RetryDecision::Retry { after },
         }
     }
 
@@ -65,9 +62,6 @@
             (Verdict::MayHaveRun, Idempotency::NonIdempotent) => {
                 return Some(GiveUpReason::MayHaveRun);
             }
-            (Verdict::MayHaveRun, Idempotency::Idempotent) if failed.retries_left == 0 => {
-                return Some(GiveUpReason::TriesSpent);
-            }
             (Verdict::MayHaveRun, Idempotency::Idempotent) | (Verdict::NotRun, _) => {}
         }
         if failed.tries >= self.tries {
@@ -89,10 +83,3 @@
         bound.min(self.backoff_longest).mul_f64(random.f64())
     }
 }
-
-fn retries_below(failed: &FailedTry) -> u32 {
-    match failed.verdict {
-        Verdict::MayHaveRun => 0,
-        Verdict::NotRun | Verdict::Ran => failed.retries_left,
-    }
-}
