--- /dev/null
+++ b/crates/membership/src/detailing.rs
@@ -0,0 +1,202 @@
+use std::time::Instant;
+
+use medlarspool_types::{Address, InstanceId, ServiceName};
+
+use crate::{
+    MemberState, Membership, MembershipAction, Message, ServiceKey, UpstreamDetail, Word,
+    gossiping::ROOM_BYTES, interest::Interest, repair::jitter,
+};
+
+/// The details in one datagram.
+const DETAILS_A_DATAGRAM: usize = 12;
+
+/// The fellow daemons of a service to which a change of detail is pushed; the others ask.
+const MAX_FELLOWS: usize = 64;
+
+impl Membership {
+    pub(crate) fn advance_interests(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let due: Vec<ServiceKey> = self
+            .interests
+            .iter()
+            .filter(|(_, interest)| interest.next_request <= now)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            self.request_detail(key, now, actions);
+        }
+    }
+
+    pub(crate) fn begin_interest(&mut self, service: ServiceName, now: Instant) {
+        self.interests
+            .entry(ServiceKey::from(&service))
+            .or_insert_with(|| Interest::new(service, now));
+    }
+
+    pub(crate) fn end_interest(&mut self, service: &ServiceName) {
+        let key = ServiceKey::from(service);
+        if self.me.service != Some(key) {
+            self.interests.remove(&key);
+        }
+    }
+
+    pub(crate) fn receive_detail_reply(
+        &mut self,
+        service: &ServiceName,
+        details: Vec<UpstreamDetail>,
+        words: Vec<Word>,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.apply_words(words, false, now, actions);
+        let key = ServiceKey::from(service);
+        let Some(interest) = self.interests.get_mut(&key) else {
+            return;
+        };
+        let mut is_changed = false;
+        for detail in details {
+            is_changed |= interest.put(detail);
+        }
+        if is_changed {
+            actions.push(MembershipAction::ServiceChanged { service: key });
+        }
+    }
+
+    pub(crate) fn receive_detail_request(
+        &mut self,
+        address: Address,
+        digest: u64,
+        service: &ServiceName,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let key = ServiceKey::from(service);
+        let Some(interest) = self.interests.get(&key) else {
+            let reply = Message::DetailReply {
+                details: Vec::new(),
+                service: service.clone(),
+                words: self.service_words(key),
+            };
+            self.send(address, reply, actions);
+            return;
+        };
+        if interest.digest() == digest {
+            return;
+        }
+        let details: Vec<UpstreamDetail> = interest.details.values().cloned().collect();
+        for details in details.chunks(DETAILS_A_DATAGRAM) {
+            let reply = detail_reply(service, details);
+            self.send(address, reply, actions);
+        }
+    }
+
+    /// Takes up what the local upstream announced and pushes it to the daemons of its fellows.
+    pub(crate) fn renew_own_detail(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let Some(upstream) = self.upstream.clone() else {
+            return;
+        };
+        let key = ServiceKey::from(&upstream.service);
+        let me = &self.me.member;
+        let Some(interest) = self.interests.get_mut(&key) else {
+            return;
+        };
+        let sequence = interest
+            .details
+            .get(&me.instance)
+            .map_or(0, |held| held.sequence + 1);
+        let detail = UpstreamDetail {
+            cold: upstream.cold,
+            generation: upstream.generation,
+            incarnation: me.incarnation,
+            instance: me.instance.clone(),
+            sequence,
+            slots: upstream.slots,
+        };
+        interest.put(detail.clone());
+        interest.next_request = interest.next_request.max(now);
+        actions.push(MembershipAction::ServiceChanged { service: key });
+        for address in self.fellows(key) {
+            let reply = detail_reply(&upstream.service, std::slice::from_ref(&detail));
+            self.send(address, reply, actions);
+        }
+    }
+
+    /// Returns the addresses of the living daemons that announced a service, without this one.
+    fn fellows(&self, key: ServiceKey) -> Vec<Address> {
+        let is_fellow = |instance: &&InstanceId| {
+            **instance != self.me.member.instance
+                && self
+                    .view
+                    .state(instance)
+                    .is_some_and(MemberState::is_living)
+        };
+        self.view
+            .service(key)
+            .iter()
+            .filter(is_fellow)
+            .filter_map(|instance| self.view.get(instance))
+            .map(|record| record.announcement.member.control_address)
+            .take(MAX_FELLOWS)
+            .collect()
+    }
+
+    fn request_detail(
+        &mut self,
+        key: ServiceKey,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let fellows = self.fellows(key);
+        let asked = match self.random.choice(&fellows) {
+            Some(address) => Some(*address),
+            None => self.draw_peers(1).first().copied(),
+        };
+        let interval = if fellows.is_empty() {
+            self.settings.probe_interval
+        } else {
+            self.settings.detail_interval
+        };
+        let wait = jitter(interval, &mut self.random);
+        let view = &self.view;
+        let Some(interest) = self.interests.get_mut(&key) else {
+            return;
+        };
+        interest
+            .details
+            .retain(|instance, _| view.state(instance).is_some_and(MemberState::is_living));
+        interest.next_request = now + wait;
+        let request = Message::DetailRequest {
+            digest: interest.digest(),
+            service: interest.service.clone(),
+        };
+        if let Some(address) = asked {
+            self.send(address, request, actions);
+        }
+    }
+
+    /// Returns the words of a service's living members, as many as fit one datagram.
+    fn service_words(&self, key: ServiceKey) -> Vec<Word> {
+        let mut room_bytes = ROOM_BYTES;
+        let mut words = Vec::new();
+        for instance in self.view.service(key) {
+            let is_living = self
+                .view
+                .state(instance)
+                .is_some_and(MemberState::is_living);
+            let word = self.view.announcement(instance).filter(|_| is_living);
+            let bytes = word.as_ref().map_or(0, Word::max_bytes);
+            if bytes > room_bytes {
+                break;
+            }
+            room_bytes -= bytes;
+            words.extend(word);
+        }
+        words
+    }
+}
+
+fn detail_reply(service: &ServiceName, details: &[UpstreamDetail]) -> Message {
+    Message::DetailReply {
+        details: details.to_vec(),
+        service: service.clone(),
+        words: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/membership/src/gossiping.rs
@@ -0,0 +1,108 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_types::Address;
+
+use crate::{Membership, MembershipAction, Message, Word, topic::Topic};
+
+/// The bytes of words in a datagram of news: 1,200 less the envelope.
+pub(crate) const ROOM_BYTES: usize = 1_020;
+
+/// The bytes of words on a ping or its answer.
+const PIGGYBACK_BYTES: usize = 400;
+
+/// The bytes of a datagram beside its words, IP and UDP framing included.
+const ENVELOPE_BYTES: usize = 128;
+
+/// How long urgent news waits for more of it.
+const URGENT_DELAY: Duration = Duration::from_millis(20);
+
+/// The share of the byte allowance that is kept back for urgent news.
+const URGENT_SHARE: f64 = 0.5;
+
+impl Membership {
+    pub(crate) fn advance_gossip(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        if !self.gossip.is_empty() && now >= self.next_gossip {
+            self.push_gossip(now, actions);
+        }
+    }
+
+    /// Returns news to ride on a datagram that is sent anyhow.
+    pub(crate) fn piggyback(&mut self, now: Instant) -> Vec<Word> {
+        let words = self.take_words(PIGGYBACK_BYTES, 1, now);
+        self.spend(&words, 0, 1, now);
+        words
+    }
+
+    /// Pushes news to a few members drawn at random.
+    pub(crate) fn push_gossip(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.next_gossip = now + self.settings.gossip_interval;
+        let peers = self.draw_peers(self.settings.gossip_fanout);
+        let copies = u32::try_from(peers.len()).unwrap_or(u32::MAX);
+        if copies == 0 {
+            return;
+        }
+        let words = self.take_words(ROOM_BYTES, copies, now);
+        if words.is_empty() {
+            return;
+        }
+        self.spend(&words, ENVELOPE_BYTES, copies, now);
+        for address in peers {
+            let words = words.clone();
+            self.send(address, Message::Gossip { words }, actions);
+        }
+    }
+
+    /// Takes up news; urgent news leaves almost at once.
+    pub(crate) fn spread(&mut self, topic: Topic, urgent: bool, now: Instant) {
+        if self.gossip.is_empty() {
+            let wait = self.settings.gossip_interval.mul_f64(self.random.f64());
+            self.next_gossip = self.next_gossip.max(now + wait);
+        }
+        if urgent {
+            self.next_gossip = self.next_gossip.min(now + URGENT_DELAY);
+        }
+        self.gossip.push(topic, urgent);
+    }
+
+    /// Draws the addresses of living members other than this one.
+    pub(crate) fn draw_peers(&mut self, count: usize) -> Vec<Address> {
+        let me = &self.me.member.instance;
+        self.view
+            .draw_living(count, &[me], &mut self.random)
+            .into_iter()
+            .map(|record| record.announcement.member.control_address)
+            .collect()
+    }
+
+    fn spend(&mut self, words: &[Word], envelope_bytes: usize, copies: u32, now: Instant) {
+        let bytes = envelope_bytes + words.iter().map(Word::max_bytes).sum::<usize>();
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        self.gossip_tokens.spend(now, bytes * copies);
+    }
+
+    fn take_words(&mut self, room_bytes: usize, copies: u32, now: Instant) -> Vec<Word> {
+        let share = self.gossip_tokens.share(now);
+        if share <= 0.0 || self.gossip.is_empty() {
+            return Vec::new();
+        }
+        let urgent_only = share < URGENT_SHARE;
+        let me = self.accuser();
+        let view = &self.view;
+        let suspicions = &self.suspicions;
+        self.gossip.take(
+            room_bytes,
+            copies,
+            urgent_only,
+            view.living(),
+            |topic| match topic {
+                Topic::Accusation(instance) => {
+                    let accuser = suspicions
+                        .get(instance)
+                        .map_or(me, crate::suspicion::Suspicion::accuser);
+                    view.accusation(instance, accuser)
+                }
+                Topic::Announcement(instance) => view.announcement(instance),
+            },
+        )
+    }
+}
--- /dev/null
+++ b/crates/membership/src/living_list.rs
@@ -0,0 +1,38 @@
+use std::collections::BTreeMap;
+
+use medlarspool_types::InstanceId;
+
+/// The living, in a list from which one can be drawn at random in constant time.
+#[derive(Debug, Default)]
+pub(crate) struct LivingList {
+    instances: Vec<InstanceId>,
+    positions: BTreeMap<InstanceId, usize>,
+}
+
+impl LivingList {
+    pub(crate) fn draw(&self, random: &mut fastrand::Rng) -> Option<&InstanceId> {
+        random.choice(&self.instances)
+    }
+
+    pub(crate) fn insert(&mut self, instance: &InstanceId) {
+        if !self.positions.contains_key(instance) {
+            self.positions
+                .insert(instance.clone(), self.instances.len());
+            self.instances.push(instance.clone());
+        }
+    }
+
+    pub(crate) fn instances(&self) -> &[InstanceId] {
+        &self.instances
+    }
+
+    pub(crate) fn remove(&mut self, instance: &InstanceId) {
+        let Some(position) = self.positions.remove(instance) else {
+            return;
+        };
+        self.instances.swap_remove(position);
+        if let Some(moved) = self.instances.get(position) {
+            self.positions.insert(moved.clone(), position);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership.rs
@@ -0,0 +1,341 @@
+use std::{collections::BTreeMap, time::Instant};
+
+use medlarspool_types::{Address, InstanceId, ServiceName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    AnnouncedState, Announcement, Member, MemberView, MembershipAction, MembershipCounters,
+    MembershipEvent, MembershipSettings, Message, ServiceKey, UpstreamAnnouncement, UpstreamState,
+    UpstreamView, gossip_queue::GossipQueue, interest::Interest, lease::Lease,
+    local_health::LocalHealth, prober::Prober, repair::Repair, repair::jitter,
+    seed_keeper::SeedKeeper, service_key::fold, suspicion::Suspicion, token_bucket::TokenBucket,
+    topic::Topic, view::View,
+};
+
+/// How many seconds' worth of news a daemon may send at once.
+const GOSSIP_BURST_S: u32 = 12;
+
+/// The suspects that a daemon asks for the last time in a second.
+const LAST_QUESTIONS_PER_SECOND: u32 = 5;
+
+/// The decision core of one daemon's membership.
+///
+/// It takes events with the time and yields actions; see `docs/design/membership.md`.
+#[derive(Debug)]
+pub struct Membership {
+    pub(crate) counters: MembershipCounters,
+    pub(crate) gossip: GossipQueue,
+    pub(crate) gossip_tokens: TokenBucket,
+    pub(crate) health: LocalHealth,
+    pub(crate) interests: BTreeMap<ServiceKey, Interest>,
+    pub(crate) last_handled: Instant,
+    pub(crate) last_questions: TokenBucket,
+    pub(crate) lease: Lease,
+    pub(crate) me: Announcement,
+    pub(crate) next_gossip: Instant,
+    pub(crate) page_tokens: TokenBucket,
+    pub(crate) prober: Prober,
+    pub(crate) random: fastrand::Rng,
+    pub(crate) repair: Repair,
+    pub(crate) seeds: SeedKeeper,
+    pub(crate) settings: MembershipSettings,
+    pub(crate) suspicions: BTreeMap<InstanceId, Suspicion>,
+    pub(crate) upstream: Option<UpstreamAnnouncement>,
+    pub(crate) view: View,
+}
+
+impl Membership {
+    /// Creates the core of a daemon that knows nobody yet.
+    #[must_use]
+    pub fn new(settings: MembershipSettings, me: Member, seed: u64, now: Instant) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let me = Announcement {
+            member: me,
+            sequence: 0,
+            service: None,
+            state: AnnouncedState::Alive,
+            upstream: UpstreamState::Absent,
+        };
+        let mut view = View::new();
+        view.put(me.clone(), now);
+        let rate = settings.gossip_rate_bytes;
+        let pages = settings.pages_per_second;
+        Self {
+            counters: MembershipCounters::default(),
+            gossip: GossipQueue::default(),
+            gossip_tokens: TokenBucket::new(rate, rate * GOSSIP_BURST_S, now),
+            health: LocalHealth::default(),
+            interests: BTreeMap::new(),
+            last_handled: now,
+            last_questions: TokenBucket::new(
+                LAST_QUESTIONS_PER_SECOND,
+                LAST_QUESTIONS_PER_SECOND,
+                now,
+            ),
+            lease: Lease::new(settings.lease, now),
+            me,
+            next_gossip: now,
+            page_tokens: TokenBucket::new(pages, pages, now),
+            prober: Prober::new(now + jitter(settings.probe_interval, &mut random)),
+            repair: Repair::new(now),
+            seeds: SeedKeeper::new(now, &mut random),
+            random,
+            settings,
+            suspicions: BTreeMap::new(),
+            upstream: None,
+            view,
+        }
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> MembershipCounters {
+        self.counters
+    }
+
+    /// Takes an event and appends what is to be done about it.
+    pub fn handle(
+        &mut self,
+        now: Instant,
+        event: MembershipEvent,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.notice_pause(now, actions);
+        match event {
+            MembershipEvent::ConnectionRefused { instance } => self.probe_at_once(&instance, now),
+            MembershipEvent::InterestBegan(service) => self.begin_interest(service, now),
+            MembershipEvent::InterestEnded(service) => self.end_interest(&service),
+            MembershipEvent::Leave => self.leave(AnnouncedState::Leaving, now, actions),
+            MembershipEvent::Received {
+                address,
+                incarnation,
+                message,
+                sender,
+            } => {
+                self.meet(&sender, incarnation, address, actions);
+                self.receive(now, address, &sender, message, actions);
+            }
+            MembershipEvent::SeedRowsRead {
+                availability_zone,
+                rows,
+                system_now,
+            } => self.seed_rows_read(now, availability_zone.as_ref(), &rows, system_now, actions),
+            MembershipEvent::Stop => self.leave(AnnouncedState::Left, now, actions),
+            MembershipEvent::SeedRowsUnavailable | MembershipEvent::Tick => {}
+            MembershipEvent::UpstreamAnnounced(upstream) => {
+                self.upstream_announced(upstream, now, actions);
+            }
+            MembershipEvent::UpstreamLapsed => {
+                self.set_upstream(UpstreamState::Lapsed, now, actions);
+            }
+            MembershipEvent::UpstreamLeaving => {
+                self.set_upstream(UpstreamState::Leaving, now, actions);
+            }
+            MembershipEvent::UpstreamRefused => {
+                self.set_upstream(UpstreamState::Refusing, now, actions);
+            }
+        }
+        self.advance(now, actions);
+    }
+
+    /// Returns whether this daemon has recently been answered, so that it may act as a member.
+    ///
+    /// A process that was paused finds this false when it wakes, before it hears anything.
+    #[must_use]
+    pub fn lease_valid(&self, now: Instant) -> bool {
+        self.lease.is_valid(now)
+    }
+
+    /// Returns how far this daemon doubts its own view, from 0 to 3.
+    #[must_use]
+    pub fn local_health_score(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// Returns this daemon's own newest words.
+    #[must_use]
+    pub fn me(&self) -> &Announcement {
+        &self.me
+    }
+
+    /// Returns a member as this daemon sees it.
+    #[must_use]
+    pub fn member(&self, instance: &InstanceId) -> Option<MemberView<'_>> {
+        self.view.get(instance).map(|record| MemberView {
+            announcement: &record.announcement,
+            state: record.state(),
+        })
+    }
+
+    /// Returns all members as this daemon sees them, itself and the remembered dead among them.
+    pub fn members(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.view.records().map(|record| MemberView {
+            announcement: &record.announcement,
+            state: record.state(),
+        })
+    }
+
+    /// Returns the number of living members, this daemon among them.
+    #[must_use]
+    pub fn living(&self) -> usize {
+        self.view.living()
+    }
+
+    /// Returns when the core has something to do without any event.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Instant {
+        let mut next = self.prober.next_wakeup().min(self.repair.next_digest);
+        if !self.gossip.is_empty() {
+            next = next.min(self.next_gossip);
+        }
+        if !self.repair.is_done() {
+            next = next.min(self.repair.next_page);
+        }
+        let interests = self
+            .interests
+            .values()
+            .map(|interest| interest.next_request);
+        let suspicions = self.suspicions.values().map(|suspicion| suspicion.deadline);
+        interests
+            .chain(suspicions)
+            .fold(next.min(self.seeds.next_read), Instant::min)
+    }
+
+    /// Returns the digest of the living as this daemon sees them, equal wherever views agree.
+    #[must_use]
+    pub fn view_digest(&self) -> u64 {
+        self.view.root()
+    }
+
+    /// Returns the upstreams of a service, with their detail where this daemon routes to it.
+    pub fn upstreams(&self, service: &ServiceName) -> impl Iterator<Item = UpstreamView<'_>> {
+        let key = ServiceKey::from(service);
+        let interest = self.interests.get(&key);
+        self.view.service(key).iter().filter_map(move |instance| {
+            let record = self.view.get(instance)?;
+            Some(UpstreamView {
+                announcement: &record.announcement,
+                detail: interest.and_then(|interest| interest.details.get(instance)),
+                state: record.state(),
+            })
+        })
+    }
+
+    /// Does all that has come due.
+    fn advance(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.advance_probes(now, actions);
+        self.advance_suspicions(now, actions);
+        self.advance_repair(now, actions);
+        self.advance_interests(now, actions);
+        self.advance_seeds(now, actions);
+        self.advance_gossip(now, actions);
+    }
+
+    /// Takes a new incarnation after a pause that outlasted the lease, so that others hear of this
+    /// life anew, and holds no probe of the time before against anybody.
+    fn notice_pause(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let gap = now.saturating_duration_since(self.last_handled);
+        self.last_handled = self.last_handled.max(now);
+        if gap < self.settings.lease {
+            return;
+        }
+        self.prober.forgive(now, self.settings.probe_timeout);
+        for suspicion in self.suspicions.values_mut() {
+            suspicion.deadline = suspicion.deadline.max(now) + self.settings.lease;
+            suspicion.asked = false;
+        }
+        self.health.degrade();
+        self.refute(self.me.member.incarnation, now, actions);
+    }
+
+    /// Returns the hash that stands for this daemon in its accusations.
+    pub(crate) fn accuser(&self) -> u32 {
+        fold(xxh3_64(self.me.member.instance.as_str().as_bytes()))
+    }
+
+    /// Publishes this daemon's own words with a higher sequence.
+    pub(crate) fn announce(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.me.sequence += 1;
+        self.publish_me(now, actions);
+    }
+
+    /// Takes an incarnation above one that was accused or claimed.
+    pub(crate) fn refute(
+        &mut self,
+        incarnation: medlarspool_types::Incarnation,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.me.member.incarnation = incarnation.max(self.me.member.incarnation).next();
+        self.publish_me(now, actions);
+        self.renew_own_detail(now, actions);
+    }
+
+    pub(crate) fn send(
+        &self,
+        address: Address,
+        message: Message,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if address != self.me.member.control_address {
+            actions.push(MembershipAction::Send { address, message });
+        }
+    }
+
+    fn leave(&mut self, state: AnnouncedState, now: Instant, actions: &mut Vec<MembershipAction>) {
+        if self.me.state >= state {
+            return;
+        }
+        self.me.state = state;
+        self.announce(now, actions);
+        self.push_gossip(now, actions);
+    }
+
+    fn publish_me(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.view.put(self.me.clone(), now);
+        let instance = self.me.member.instance.clone();
+        self.spread(Topic::Announcement(instance), self.me.is_urgent(), now);
+        if let Some(service) = self.me.service {
+            actions.push(MembershipAction::ServiceChanged { service });
+        }
+    }
+
+    fn set_upstream(
+        &mut self,
+        upstream: UpstreamState,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let has_left = self.me.upstream == UpstreamState::Leaving;
+        if self.upstream.is_none() || self.me.upstream == upstream || has_left {
+            return;
+        }
+        self.me.upstream = upstream;
+        self.announce(now, actions);
+        self.push_gossip(now, actions);
+    }
+
+    fn upstream_announced(
+        &mut self,
+        upstream: UpstreamAnnouncement,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let held = self.upstream.replace(upstream.clone());
+        let is_new_life = held
+            .as_ref()
+            .is_none_or(|held| held.generation != upstream.generation);
+        let has_left = self.me.upstream == UpstreamState::Leaving && !is_new_life;
+        let service = Some(ServiceKey::from(&upstream.service));
+        let is_known = self.me.service == service && self.me.upstream == UpstreamState::Serving;
+        if held.as_ref() != Some(&upstream) {
+            self.begin_interest(upstream.service, now);
+            self.renew_own_detail(now, actions);
+        }
+        if !has_left && !is_known {
+            self.me.service = service;
+            self.me.upstream = UpstreamState::Serving;
+            self.announce(now, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/merge.rs
@@ -0,0 +1,230 @@
+use std::time::Instant;
+
+use medlarspool_types::{Address, Incarnation, InstanceId};
+
+use crate::{
+    Accusation, AccusationKind, AnnouncedState, Announcement, MemberState, Membership,
+    MembershipAction, Message, Word, suspicion, suspicion::Suspicion, topic::Topic,
+};
+
+impl Membership {
+    /// Takes words in and returns whether one of them accused this daemon.
+    pub(crate) fn apply_words(
+        &mut self,
+        words: Vec<Word>,
+        is_news: bool,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) -> bool {
+        let before = self.me.member.incarnation;
+        for word in words {
+            match word {
+                Word::Accusation(accusation) => self.apply_accusation(&accusation, now, actions),
+                Word::Announcement(announcement) => {
+                    self.apply_announcement(announcement, is_news, now, actions);
+                }
+            }
+        }
+        self.me.member.incarnation != before
+    }
+
+    pub(crate) fn apply_announcement(
+        &mut self,
+        announcement: Announcement,
+        is_news: bool,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let instance = announcement.member.instance.clone();
+        if instance == self.me.member.instance {
+            if announcement.overrules(&self.me) {
+                self.refute(announcement.member.incarnation, now, actions);
+            }
+            return;
+        }
+        let before = self.view.state(&instance);
+        if !self.is_newer(&announcement) {
+            self.counters.words_stale += 1;
+            return;
+        }
+        self.displace(&announcement, now, actions);
+        self.end_refuted_suspicion(&instance, announcement.member.incarnation);
+        let urgent = announcement.is_urgent();
+        let service = announcement.service;
+        self.view.put(announcement, now);
+        if !before.is_some_and(MemberState::is_living) {
+            self.prober.welcome(&instance, &mut self.random);
+        }
+        if is_news {
+            self.spread(Topic::Announcement(instance.clone()), urgent, now);
+        }
+        self.report(&instance, before, actions);
+        if let Some(service) = service {
+            actions.push(MembershipAction::ServiceChanged { service });
+        }
+    }
+
+    /// Holds a member dead and tells others.
+    pub(crate) fn bury(
+        &mut self,
+        instance: &InstanceId,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let before = self.view.state(instance);
+        self.view.accuse(instance, AccusationKind::Dead, now);
+        self.suspicions.remove(instance);
+        self.gossip.remove(&Topic::Announcement(instance.clone()));
+        self.spread(Topic::Accusation(instance.clone()), false, now);
+        self.report(instance, before, actions);
+    }
+
+    /// Tells a sender that is accused in this view of it, so that it can refute.
+    pub(crate) fn meet(
+        &mut self,
+        sender: &InstanceId,
+        incarnation: Incarnation,
+        address: Address,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let is_held = self
+            .view
+            .get(sender)
+            .is_some_and(|record| record.announcement.member.incarnation == incarnation);
+        let accuser = self.accuser();
+        if is_held && let Some(word) = self.view.accusation(sender, accuser) {
+            let words = vec![as_suspicion(word)];
+            self.send(address, Message::Gossip { words }, actions);
+        }
+    }
+
+    /// Suspects a member, or confirms a suspicion of it.
+    pub(crate) fn suspect(
+        &mut self,
+        instance: &InstanceId,
+        accuser: u32,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(record) = self.view.get(instance) else {
+            return;
+        };
+        let before = record.state();
+        let incarnation = record.announcement.member.incarnation;
+        let topic = Topic::Accusation(instance.clone());
+        if let Some(suspicion) = self.suspicions.get_mut(instance) {
+            if suspicion.confirm(accuser) {
+                self.spread(topic, false, now);
+            }
+            return;
+        }
+        let period = self.settings.probe_interval * self.health.factor();
+        let base = suspicion::base_duration(self.view.living(), period, self.settings.lease);
+        let suspicion = Suspicion::new(incarnation, accuser, base, now);
+        self.suspicions.insert(instance.clone(), suspicion);
+        self.view.accuse(instance, AccusationKind::Suspect, now);
+        self.spread(topic, false, now);
+        self.report(instance, Some(before), actions);
+    }
+
+    fn apply_accusation(
+        &mut self,
+        accusation: &Accusation,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if accusation.instance == self.me.member.instance {
+            let is_current = accusation.incarnation >= self.me.member.incarnation;
+            if is_current && self.me.state != AnnouncedState::Left {
+                self.counters.refutations += 1;
+                self.health.degrade();
+                self.refute(accusation.incarnation, now, actions);
+            }
+            return;
+        }
+        let Some(record) = self.view.get(&accusation.instance) else {
+            return;
+        };
+        let is_same_life = record.announcement.member.incarnation == accusation.incarnation;
+        if !is_same_life || !record.state().is_living() {
+            self.counters.words_stale += 1;
+            return;
+        }
+        match (accusation.kind, record.accused) {
+            (AccusationKind::Dead, Some(AccusationKind::Suspect)) => {
+                self.bury(&accusation.instance, now, actions);
+            }
+            _ => self.suspect(&accusation.instance, accusation.accuser, now, actions),
+        }
+    }
+
+    /// Buries an older life under another name at the address of a newer one.
+    fn displace(
+        &mut self,
+        newer: &Announcement,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(holder) = self.view.at_address(&newer.member.control_address).cloned() else {
+            return;
+        };
+        let is_older = self.view.get(&holder).is_some_and(|record| {
+            record.announcement.member.incarnation < newer.member.incarnation
+        });
+        if holder != newer.member.instance && holder != self.me.member.instance && is_older {
+            self.bury(&holder, now, actions);
+        }
+    }
+
+    fn end_refuted_suspicion(&mut self, instance: &InstanceId, incarnation: Incarnation) {
+        let is_refuted = self
+            .suspicions
+            .get(instance)
+            .is_some_and(|suspicion| suspicion.incarnation < incarnation);
+        if is_refuted {
+            self.counters.suspicions_refuted += 1;
+            self.suspicions.remove(instance);
+            self.gossip.remove(&Topic::Accusation(instance.clone()));
+        }
+    }
+
+    fn is_newer(&self, announcement: &Announcement) -> bool {
+        self.view
+            .get(&announcement.member.instance)
+            .is_none_or(|record| {
+                let held = &record.announcement;
+                let is_new_life = announcement.member.incarnation > held.member.incarnation;
+                is_new_life || (announcement.overrules(held) && record.state().is_living())
+            })
+    }
+
+    fn report(
+        &self,
+        instance: &InstanceId,
+        before: Option<MemberState>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(record) = self.view.get(instance) else {
+            return;
+        };
+        if before != Some(record.state()) {
+            actions.push(MembershipAction::MemberChanged {
+                instance: instance.clone(),
+                service: record.announcement.service,
+                state: record.state(),
+            });
+        }
+    }
+}
+
+/// Weakens a death to a suspicion where it is told later than when it was found, so that a member
+/// that was only cut off can refute before it is held dead.
+pub(crate) fn as_suspicion(word: Word) -> Word {
+    match word {
+        Word::Accusation(accusation) => Word::Accusation(Accusation {
+            kind: AccusationKind::Suspect,
+            ..accusation
+        }),
+        Word::Announcement(_) => word,
+    }
+}
--- /dev/null
+++ b/crates/membership/src/probing.rs
@@ -0,0 +1,356 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_types::{Address, InstanceId};
+
+use crate::{
+    AnnouncedState, MemberState, Membership, MembershipAction, Message, Word,
+    merge::as_suspicion,
+    probe::{Errand, Probe, ProbeKind},
+    prober::MAX_ERRANDS,
+    repair::jitter,
+};
+
+/// The members probed for the second time in one period.
+const SECOND_PROBES: usize = 3;
+
+/// The wait before a suspect is asked for the last time when too many are.
+const LAST_QUESTION_WAIT: Duration = Duration::from_millis(200);
+
+impl Membership {
+    pub(crate) fn advance_probes(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.advance_errands(now, actions);
+        self.relay_probes(now, actions);
+        self.end_probes(now, actions);
+        if now < self.prober.next_period || self.me.state == AnnouncedState::Left {
+            return;
+        }
+        self.prober.next_period = now + self.settings.probe_interval;
+        for _ in 0..SECOND_PROBES {
+            if let Some(instance) = self.prober.next_doubted() {
+                self.probe(&instance, ProbeKind::Second, now, actions);
+            }
+        }
+        let me = &self.me.member.instance;
+        let next = self.prober.next_in_turn(&self.view, me, &mut self.random);
+        match next {
+            Some(instance) => self.probe(&instance, ProbeKind::First, now, actions),
+            None => self.renew_lease_alone(now),
+        }
+        self.probe_lost(now, actions);
+    }
+
+    pub(crate) fn advance_suspicions(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let due: Vec<InstanceId> = self
+            .suspicions
+            .iter()
+            .filter(|(_, suspicion)| suspicion.deadline <= now)
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        for instance in due {
+            let may_ask = self.last_questions.try_take(now);
+            let patience = self.settings.probe_interval * self.health.factor() * 2;
+            let wait = if may_ask {
+                patience
+            } else {
+                jitter(LAST_QUESTION_WAIT, &mut self.random)
+            };
+            if let Some(suspicion) = self.suspicions.get_mut(&instance) {
+                suspicion.deadline = now + wait;
+                suspicion.asked = may_ask;
+            }
+            if may_ask {
+                self.probe(&instance, ProbeKind::Last, now, actions);
+            }
+        }
+    }
+
+    /// Puts a member up for a probe in the next moment, because a call found it wanting.
+    pub(crate) fn probe_at_once(&mut self, instance: &InstanceId, now: Instant) {
+        if self.view.state(instance) == Some(MemberState::Alive) {
+            self.prober.doubt(instance);
+            self.prober.next_period = now;
+        }
+    }
+
+    pub(crate) fn receive_ack(
+        &mut self,
+        number: u64,
+        relayed: bool,
+        sender: &InstanceId,
+        words: &[Word],
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.return_errand(number, sender, words, actions);
+        let answered = self
+            .prober
+            .probes
+            .iter()
+            .position(|probe| probe.number == number && (relayed || probe.instance == *sender));
+        let Some(position) = answered else {
+            return;
+        };
+        let probe = self.prober.probes.swap_remove(position);
+        self.lease.renew(probe.sent);
+        self.health.improve();
+        let base = self.settings.lease;
+        if let Some(suspicion) = self.suspicions.get_mut(&probe.instance) {
+            suspicion.asked = false;
+            suspicion.deadline = suspicion.deadline.max(now + base);
+        }
+    }
+
+    pub(crate) fn receive_nack(&mut self, number: u64) {
+        for probe in &mut self.prober.probes {
+            if probe.number == number {
+                probe.nacks_missing = probe.nacks_missing.saturating_sub(1);
+            }
+        }
+    }
+
+    pub(crate) fn receive_ping(
+        &mut self,
+        address: Address,
+        number: u64,
+        words: Vec<Word>,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let was_accused = self.apply_words(words, true, now, actions);
+        if self.view.living() == 1 {
+            self.repair.contacts.push(address);
+        }
+        let mut words = self.piggyback(now);
+        if was_accused {
+            words.insert(0, Word::Announcement(self.me.clone()));
+        }
+        let ack = Message::Ack {
+            number,
+            relayed: false,
+            words,
+        };
+        self.send(address, ack, actions);
+    }
+
+    pub(crate) fn receive_ping_request(
+        &mut self,
+        asker: Address,
+        asker_number: u64,
+        subject: InstanceId,
+        address: Address,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if self.prober.errands.len() >= MAX_ERRANDS {
+            return;
+        }
+        let number = self.prober.next_number();
+        self.prober.errands.push(Errand {
+            asker,
+            asker_number,
+            deadline: now + self.settings.probe_timeout * 4 / 5,
+            number,
+            subject,
+        });
+        let words = self.piggyback(now);
+        self.send(address, Message::Ping { number, words }, actions);
+    }
+
+    fn advance_errands(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let mut errands = std::mem::take(&mut self.prober.errands);
+        for errand in errands.extract_if(.., |errand| errand.deadline <= now) {
+            let number = errand.asker_number;
+            self.send(errand.asker, Message::Nack { number }, actions);
+        }
+        self.prober.errands = errands;
+    }
+
+    fn end_probes(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let mut probes = std::mem::take(&mut self.prober.probes);
+        let ended: Vec<Probe> = probes
+            .extract_if(.., |probe| probe.deadline <= now)
+            .collect();
+        self.prober.probes = probes;
+        for probe in ended {
+            self.end_probe(&probe, now, actions);
+        }
+    }
+
+    fn end_probe(&mut self, probe: &Probe, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.counters.probes_failed += 1;
+        let is_same_life = self.view.get(&probe.instance).is_some_and(|record| {
+            record.announcement.member.incarnation == probe.incarnation
+                && record.state().is_living()
+        });
+        if !is_same_life {
+            return;
+        }
+        if probe.nacks_missing > 0 {
+            self.health.degrade();
+        }
+        match probe.kind {
+            ProbeKind::First => self.prober.doubt(&probe.instance),
+            ProbeKind::Last => {
+                self.counters.deaths_found += 1;
+                self.bury(&probe.instance, now, actions);
+            }
+            ProbeKind::Lost => {}
+            ProbeKind::Second => {
+                self.counters.suspicions_begun += 1;
+                self.suspect(&probe.instance, self.accuser(), now, actions);
+            }
+        }
+    }
+
+    fn ping(
+        &mut self,
+        instance: &InstanceId,
+        address: Address,
+        number: u64,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut words = self.piggyback(now);
+        let accuser = self.accuser();
+        if let Some(word) = self.view.accusation(instance, accuser) {
+            words.insert(0, as_suspicion(word));
+        }
+        self.send(address, Message::Ping { number, words }, actions);
+    }
+
+    fn probe(
+        &mut self,
+        instance: &InstanceId,
+        kind: ProbeKind,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let is_suspect = self.suspicions.contains_key(instance);
+        match kind {
+            ProbeKind::First | ProbeKind::Second if is_suspect => return,
+            ProbeKind::Last => self.prober.give_up(instance),
+            _ if self.prober.is_probing(instance) => return,
+            _ => {}
+        }
+        let Some(record) = self.view.get(instance) else {
+            return;
+        };
+        let address = record.announcement.member.control_address;
+        let incarnation = record.announcement.member.incarnation;
+        let number = self.prober.next_number();
+        let factor = self.health.factor();
+        self.counters.probes_sent += 1;
+        self.prober.probes.push(Probe {
+            deadline: now + self.settings.probe_interval * factor,
+            incarnation,
+            instance: instance.clone(),
+            kind,
+            nacks_missing: 0,
+            number,
+            relay_at: Some(now + self.settings.probe_timeout * factor),
+            sent: now,
+        });
+        self.ping(instance, address, number, now, actions);
+    }
+
+    /// Probes one dead member now and then, in case it was only cut off, and forgets the oldest.
+    fn probe_lost(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        if now < self.prober.next_lost {
+            return;
+        }
+        let interval = self.settings.lost_probe_interval;
+        self.prober.next_lost = now + jitter(interval, &mut self.random);
+        self.view
+            .forget_dead(now, self.settings.tombstone_retention);
+        let dead = self
+            .view
+            .records()
+            .filter(|record| record.state() == MemberState::Dead)
+            .map(|record| record.announcement.member.instance.clone());
+        let dead: Vec<InstanceId> = dead.collect();
+        if let Some(instance) = self.random.choice(&dead).cloned() {
+            self.probe(&instance, ProbeKind::Lost, now, actions);
+        }
+    }
+
+    fn relay_probe(
+        &mut self,
+        instance: &InstanceId,
+        number: u64,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) -> u32 {
+        let Some(record) = self.view.get(instance) else {
+            return 0;
+        };
+        let address = record.announcement.member.control_address;
+        self.ping(instance, address, number, now, actions);
+        let me = &self.me.member.instance;
+        let relays: Vec<Address> = self
+            .view
+            .draw_living(self.settings.relays, &[me, instance], &mut self.random)
+            .into_iter()
+            .map(|record| record.announcement.member.control_address)
+            .collect();
+        for relay in &relays {
+            let request = Message::PingRequest {
+                address,
+                number,
+                subject: instance.clone(),
+            };
+            self.send(*relay, request, actions);
+        }
+        u32::try_from(relays.len()).unwrap_or(u32::MAX)
+    }
+
+    fn relay_probes(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        for position in 0..self.prober.probes.len() {
+            let probe = &mut self.prober.probes[position];
+            let is_due = probe.relay_at.is_some_and(|relay_at| relay_at <= now);
+            if !is_due {
+                continue;
+            }
+            probe.relay_at = None;
+            if probe.kind == ProbeKind::Lost {
+                continue;
+            }
+            let (instance, number) = (probe.instance.clone(), probe.number);
+            let asked = self.relay_probe(&instance, number, now, actions);
+            self.prober.probes[position].nacks_missing = asked;
+        }
+    }
+
+    /// Renews the lease of a daemon that has nobody to ask, unless all others seem dead.
+    fn renew_lease_alone(&mut self, now: Instant) {
+        let is_cut_off = self
+            .view
+            .records()
+            .any(|record| record.state() == MemberState::Dead);
+        if !is_cut_off {
+            self.lease.renew(now);
+        }
+    }
+
+    fn return_errand(
+        &mut self,
+        number: u64,
+        sender: &InstanceId,
+        words: &[Word],
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let errand = self
+            .prober
+            .errands
+            .iter()
+            .position(|errand| errand.number == number && errand.subject == *sender);
+        if let Some(position) = errand {
+            let errand = self.prober.errands.swap_remove(position);
+            let ack = Message::Ack {
+                number: errand.asker_number,
+                relayed: true,
+                words: words.to_vec(),
+            };
+            self.send(errand.asker, ack, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/record.rs
@@ -0,0 +1,46 @@
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{AccusationKind, AnnouncedState, Announcement, MemberState};
+
+/// A member's newest words and what others hold against that life of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) accused: Option<AccusationKind>,
+    pub(crate) announcement: Announcement,
+    pub(crate) changed: Instant,
+}
+
+impl Record {
+    pub(crate) fn new(announcement: Announcement, now: Instant) -> Self {
+        Self {
+            accused: None,
+            announcement,
+            changed: now,
+        }
+    }
+
+    /// Returns the hash that goes into the digest of the view; the dead are left out of it.
+    pub(crate) fn hash(&self) -> u64 {
+        if !self.state().is_living() {
+            return 0;
+        }
+        let words = [
+            xxh3_64(self.announcement.member.instance.as_str().as_bytes()),
+            self.announcement.member.incarnation.0,
+            self.announcement.sequence,
+        ];
+        xxh3_64(&words.map(u64::to_le_bytes).concat())
+    }
+
+    pub(crate) fn state(&self) -> MemberState {
+        match (self.accused, self.announcement.state) {
+            (Some(AccusationKind::Dead), _) => MemberState::Dead,
+            (_, AnnouncedState::Leaving) => MemberState::Leaving,
+            (_, AnnouncedState::Left) => MemberState::Left,
+            (Some(AccusationKind::Suspect), AnnouncedState::Alive) => MemberState::Suspect,
+            (None, AnnouncedState::Alive) => MemberState::Alive,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/repairing.rs
@@ -0,0 +1,229 @@
+use std::time::Instant;
+
+use medlarspool_types::{Address, InstanceId};
+
+use crate::{
+    AccusationKind, Announcement, BucketSet, Membership, MembershipAction, Message, Word,
+    gossiping::ROOM_BYTES, merge::as_suspicion, record::Record, repair::jitter,
+};
+
+/// The other members named to a daemon that is told to come back later.
+const BUSY_NAMES: usize = 4;
+
+/// The number of differing buckets from which pages are asked of many peers instead of one.
+const WIDE_DIFFERENCE: usize = 32;
+
+impl Membership {
+    pub(crate) fn advance_repair(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        if !self.repair.is_done() && now >= self.repair.next_page {
+            self.request_page(now, actions);
+        }
+        if now >= self.repair.next_digest {
+            self.request_digest(now, actions);
+        }
+    }
+
+    pub(crate) fn receive_busy(
+        &mut self,
+        retry_after: std::time::Duration,
+        words: Vec<Word>,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.apply_words(words, false, now, actions);
+        self.repair.next_page = now + jitter(retry_after, &mut self.random);
+    }
+
+    pub(crate) fn receive_digest_reply(&mut self, address: Address, theirs: &[u32], now: Instant) {
+        let mut wanted = BucketSet::default();
+        let ours = self.view.bucket_digests();
+        for (bucket, (theirs, ours)) in (0..=u8::MAX).zip(theirs.iter().zip(&ours)) {
+            if theirs != ours {
+                wanted.insert(bucket);
+            }
+        }
+        if wanted.is_empty() {
+            self.repair.matched(self.settings.digest_interval);
+        } else if self.repair.is_done() {
+            self.counters.digest_mismatches += 1;
+            self.repair.mismatched(wanted, address, now);
+            self.repair.schedule_digest(now, &mut self.random);
+        }
+    }
+
+    pub(crate) fn receive_digest_request(
+        &mut self,
+        address: Address,
+        root: u64,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let buckets = if root == self.view.root() {
+            Vec::new()
+        } else {
+            self.view.bucket_digests()
+        };
+        self.send(address, Message::DigestReply { buckets }, actions);
+    }
+
+    pub(crate) fn receive_state_reply(
+        &mut self,
+        address: Address,
+        given: &BucketSet,
+        words: Vec<Word>,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let given = given.without(&BucketSet::ALL.without(&self.repair.wanted));
+        let newer = self.newer_than(&given, &words);
+        if !newer.is_empty() {
+            self.send(address, Message::Gossip { words: newer }, actions);
+        }
+        self.apply_words(words, false, now, actions);
+        let is_narrow = self.repair.wanted.iter().count() < WIDE_DIFFERENCE;
+        self.repair.peer = is_narrow.then_some(address);
+        self.repair
+            .received(&given, now + self.settings.page_interval);
+    }
+
+    pub(crate) fn receive_state_request(
+        &mut self,
+        address: Address,
+        announcement: Announcement,
+        wanted: &BucketSet,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.apply_announcement(announcement, true, now, actions);
+        if self.page_tokens.try_take(now) {
+            self.give_page(address, wanted, actions);
+            return;
+        }
+        self.counters.busy_replies += 1;
+        let wait = self.page_tokens.wait(now) + self.settings.probe_interval;
+        let retry_after = jitter(wait, &mut self.random);
+        let me = &self.me.member.instance;
+        let words = self
+            .view
+            .draw_living(BUSY_NAMES, &[me], &mut self.random)
+            .into_iter()
+            .map(|record| Word::Announcement(record.announcement.clone()))
+            .collect();
+        self.send(address, Message::Busy { retry_after, words }, actions);
+    }
+
+    /// Gives as many whole buckets as fit, or one bucket in several datagrams.
+    fn give_page(
+        &mut self,
+        address: Address,
+        wanted: &BucketSet,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.counters.state_pages_given += 1;
+        let mut given = BucketSet::default();
+        let mut words = Vec::new();
+        let mut room_bytes = ROOM_BYTES;
+        for bucket in wanted.iter() {
+            let mut more = self.bucket_words(bucket);
+            let bytes: usize = more.iter().map(Word::max_bytes).sum();
+            if bytes > room_bytes && !given.is_empty() {
+                break;
+            }
+            while more.iter().map(Word::max_bytes).sum::<usize>() > ROOM_BYTES {
+                let rest = more.split_off(split_position(&more));
+                self.send(address, Message::Gossip { words: more }, actions);
+                more = rest;
+            }
+            words.append(&mut more);
+            given.insert(bucket);
+            room_bytes = room_bytes.saturating_sub(bytes);
+        }
+        let reply = Message::StateReply {
+            buckets: given,
+            words,
+        };
+        self.send(address, reply, actions);
+    }
+
+    fn bucket_words(&self, bucket: u8) -> Vec<Word> {
+        let accuser = self.accuser();
+        let word_of = |record: &Record| {
+            let instance = &record.announcement.member.instance;
+            if record.accused == Some(AccusationKind::Dead) {
+                return self.view.accusation(instance, accuser).map(as_suspicion);
+            }
+            Some(Word::Announcement(record.announcement.clone()))
+        };
+        self.view.bucket(bucket).filter_map(word_of).collect()
+    }
+
+    /// Returns what this daemon knows better than a page, as much as fits one datagram.
+    fn newer_than(&self, given: &BucketSet, page: &[Word]) -> Vec<Word> {
+        let mut newer = Vec::new();
+        let mut room_bytes = ROOM_BYTES;
+        for word in given.iter().flat_map(|bucket| self.bucket_words(bucket)) {
+            let is_newer = match page_word(page, word.instance()) {
+                Some(theirs) => overrules(&word, theirs),
+                None => matches!(word, Word::Announcement(_)),
+            };
+            if is_newer && word.max_bytes() <= room_bytes {
+                room_bytes -= word.max_bytes();
+                newer.push(word);
+            }
+        }
+        newer
+    }
+
+    fn request_digest(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.repair.schedule_digest(now, &mut self.random);
+        if !self.repair.is_done() {
+            return;
+        }
+        if let Some(address) = self.draw_peers(1).first() {
+            self.counters.digest_requests += 1;
+            let root = self.view.root();
+            self.send(*address, Message::DigestRequest { root }, actions);
+        }
+    }
+
+    fn request_page(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.repair.next_page = now + self.repair.back_off(&mut self.random);
+        let drawn = self.draw_peers(1).first().copied();
+        let contact = self.random.choice(&self.repair.contacts).copied();
+        let Some(address) = self.repair.peer.take().or(drawn).or(contact) else {
+            return;
+        };
+        self.counters.state_pages_requested += 1;
+        let request = Message::StateRequest {
+            announcement: self.me.clone(),
+            buckets: self.repair.wanted,
+        };
+        self.send(address, request, actions);
+    }
+}
+
+fn overrules(ours: &Word, theirs: &Word) -> bool {
+    match (ours, theirs) {
+        (Word::Accusation(ours), Word::Announcement(theirs)) => {
+            ours.incarnation >= theirs.member.incarnation
+        }
+        (Word::Announcement(ours), Word::Accusation(theirs)) => {
+            ours.member.incarnation > theirs.incarnation
+        }
+        (Word::Announcement(ours), Word::Announcement(theirs)) => ours.overrules(theirs),
+        (Word::Accusation(_), Word::Accusation(_)) => false,
+    }
+}
+
+fn page_word<'page>(page: &'page [Word], instance: &InstanceId) -> Option<&'page Word> {
+    page.iter().find(|word| word.instance() == instance)
+}
+
+/// Returns how many words fill one datagram, at least one.
+fn split_position(words: &[Word]) -> usize {
+    let mut bytes = 0;
+    let fitting = words.iter().take_while(|word| {
+        bytes += word.max_bytes();
+        bytes <= ROOM_BYTES
+    });
+    fitting.count().max(1)
+}
--- /dev/null
+++ b/crates/membership/src/seed_keeper.rs
@@ -0,0 +1,52 @@
+use std::time::{Duration, Instant};
+
+use crate::repair::jitter;
+
+/// The window over which daemons that start together spread their first read.
+const START_WINDOW: Duration = Duration::from_secs(5);
+
+/// The first wait before a daemon that knows nobody reads again.
+const MIN_BACKOFF: Duration = Duration::from_secs(1);
+
+/// The longest wait before a daemon that knows nobody reads again.
+const MAX_BACKOFF: Duration = Duration::from_secs(30);
+
+/// When seed rows are read next.
+#[derive(Debug)]
+pub(crate) struct SeedKeeper {
+    backoff: Duration,
+    pub(crate) next_read: Instant,
+    /// Reads since somebody was last known.
+    pub(crate) lonely_reads: u32,
+}
+
+impl SeedKeeper {
+    pub(crate) fn new(now: Instant, random: &mut fastrand::Rng) -> Self {
+        Self {
+            backoff: MIN_BACKOFF,
+            next_read: now + START_WINDOW.mul_f64(random.f64()),
+            lonely_reads: 0,
+        }
+    }
+
+    /// Schedules the next read of a daemon that knows nobody.
+    pub(crate) fn schedule_lonely(&mut self, now: Instant, random: &mut fastrand::Rng) {
+        self.lonely_reads += 1;
+        self.next_read = now + jitter(self.backoff, random);
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
+
+    /// Schedules the next read so that all daemons of an availability zone share one rate.
+    pub(crate) fn schedule_shared(
+        &mut self,
+        now: Instant,
+        interval: Duration,
+        sharers: usize,
+        random: &mut fastrand::Rng,
+    ) {
+        self.backoff = MIN_BACKOFF;
+        self.lonely_reads = 0;
+        let sharers = u32::try_from(sharers.max(1)).unwrap_or(u32::MAX);
+        self.next_read = now + jitter(interval * sharers, random);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/service_key.rs
@@ -0,0 +1,19 @@
+use medlarspool_types::ServiceName;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The hash of a service's name, which stands for it in the records that every daemon holds.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServiceKey(pub u32);
+
+impl From<&ServiceName> for ServiceKey {
+    fn from(service: &ServiceName) -> Self {
+        Self(fold(xxh3_64(service.as_str().as_bytes())))
+    }
+}
+
+/// Folds a hash to the half of its width.
+pub(crate) fn fold(hash: u64) -> u32 {
+    let halves = [hash >> 32, hash & u64::from(u32::MAX)];
+    let [high, low] = halves.map(|half| u32::try_from(half).unwrap_or_default());
+    high ^ low
+}
--- /dev/null
+++ b/crates/membership/src/suspicion.rs
@@ -0,0 +1,65 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_types::Incarnation;
+
+/// The independent confirmations after which a suspicion is as short as it gets.
+const MAX_CONFIRMATIONS: u32 = 3;
+
+/// How much longer an unconfirmed suspicion lasts than a confirmed one.
+const MAX_STRETCH: u32 = 3;
+
+/// The time that a suspect has for refuting.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    accusers: Vec<u32>,
+    /// Whether the suspect is being asked for the last time.
+    pub(crate) asked: bool,
+    base: Duration,
+    /// When the suspect is asked for the last time.
+    pub(crate) deadline: Instant,
+    pub(crate) incarnation: Incarnation,
+    started: Instant,
+}
+
+impl Suspicion {
+    pub(crate) fn new(
+        incarnation: Incarnation,
+        accuser: u32,
+        base: Duration,
+        now: Instant,
+    ) -> Self {
+        Self {
+            accusers: vec![accuser],
+            asked: false,
+            base,
+            deadline: now + base * MAX_STRETCH,
+            incarnation,
+            started: now,
+        }
+    }
+
+    /// Returns the accuser heard last, whom this daemon names when it passes the accusation on.
+    pub(crate) fn accuser(&self) -> u32 {
+        self.accusers.last().copied().unwrap_or_default()
+    }
+
+    /// Counts an accuser and returns whether it confirms the suspicion as another one.
+    pub(crate) fn confirm(&mut self, accuser: u32) -> bool {
+        let confirmations = u32::try_from(self.accusers.len()).unwrap_or(MAX_CONFIRMATIONS) - 1;
+        if self.accusers.contains(&accuser) || confirmations >= MAX_CONFIRMATIONS {
+            return false;
+        }
+        self.accusers.push(accuser);
+        let left = MAX_CONFIRMATIONS - confirmations - 1;
+        let stretch = self.base * (MAX_STRETCH - 1) * left / MAX_CONFIRMATIONS;
+        self.deadline = self.deadline.min(self.started + self.base + stretch);
+        true
+    }
+}
+
+/// Returns how long a confirmed suspicion lasts: it grows with the logarithm of the fleet, because
+/// the accusation and its refutation need that many rounds, and is never shorter than a lease.
+pub(crate) fn base_duration(members: usize, period: Duration, lease: Duration) -> Duration {
+    let rounds = members.max(2).ilog2();
+    (period * 2 * rounds / 3).max(lease)
+}
--- /dev/null
+++ b/crates/membership/src/upstream_view.rs
@@ -0,0 +1,21 @@
+use crate::{Announcement, MemberState, UpstreamDetail, UpstreamState};
+
+/// An upstream of a service as this daemon sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamView<'view> {
+    /// The newest words of its daemon.
+    pub announcement: &'view Announcement,
+    /// Its detail, once it is known.
+    pub detail: Option<&'view UpstreamDetail>,
+    /// How its daemon stands.
+    pub state: MemberState,
+}
+
+impl UpstreamView<'_> {
+    /// Returns whether the upstream may be given new work, as far as this daemon knows.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        matches!(self.state, MemberState::Alive | MemberState::Suspect)
+            && self.announcement.upstream == UpstreamState::Serving
+    }
+}
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,218 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use medlarspool_types::{Address, AvailabilityZone, InstanceId};
+
+use crate::{
+    Accusation, AccusationKind, Announcement, BucketSet, MemberState, ServiceKey, Word,
+    living_list::LivingList, record::Record, service_key::fold,
+};
+
+/// The most draws for each member wanted, so that drawing from few ends.
+const DRAWS_A_MEMBER: usize = 8;
+
+/// All that a daemon holds of the others, and of itself, in buckets whose digests are kept current.
+#[derive(Debug)]
+pub(crate) struct View {
+    addresses: BTreeMap<Address, InstanceId>,
+    buckets: Vec<BTreeMap<InstanceId, Record>>,
+    digests: Vec<u64>,
+    living: LivingList,
+    services: BTreeMap<ServiceKey, Vec<InstanceId>>,
+    zones: BTreeMap<AvailabilityZone, usize>,
+}
+
+impl View {
+    pub(crate) fn new() -> Self {
+        Self {
+            addresses: BTreeMap::new(),
+            buckets: vec![BTreeMap::new(); BucketSet::COUNT],
+            digests: vec![0; BucketSet::COUNT],
+            living: LivingList::default(),
+            services: BTreeMap::new(),
+            zones: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn at_address(&self, address: &Address) -> Option<&InstanceId> {
+        self.addresses.get(address)
+    }
+
+    pub(crate) fn bucket(&self, bucket: u8) -> impl Iterator<Item = &Record> {
+        self.buckets[usize::from(bucket)].values()
+    }
+
+    /// Returns the digest of each bucket, folded to what goes on the wire.
+    pub(crate) fn bucket_digests(&self) -> Vec<u32> {
+        self.digests.iter().copied().map(fold).collect()
+    }
+
+    /// Forgets the dead whose last change is older than the retention.
+    pub(crate) fn forget_dead(&mut self, now: Instant, retention: Duration) {
+        let is_old = |record: &Record| {
+            let age = now.saturating_duration_since(record.changed);
+            !record.state().is_living() && age >= retention
+        };
+        for bucket in 0..BucketSet::COUNT {
+            let forgotten: Vec<_> = self.buckets[bucket]
+                .extract_if(.., |_, record| is_old(record))
+                .collect();
+            for (_, record) in forgotten {
+                self.discount(&record);
+            }
+        }
+    }
+
+    pub(crate) fn get(&self, instance: &InstanceId) -> Option<&Record> {
+        self.buckets[usize::from(BucketSet::bucket_of(instance))].get(instance)
+    }
+
+    /// Returns the number of living members, this daemon among them.
+    pub(crate) fn living(&self) -> usize {
+        self.living.instances().len()
+    }
+
+    pub(crate) fn living_instances(&self) -> &[InstanceId] {
+        self.living.instances()
+    }
+
+    /// Draws up to `count` different living members other than those excluded.
+    pub(crate) fn draw_living(
+        &self,
+        count: usize,
+        excluded: &[&InstanceId],
+        random: &mut fastrand::Rng,
+    ) -> Vec<&Record> {
+        let mut drawn: Vec<&InstanceId> = Vec::with_capacity(count);
+        for _ in 0..count * DRAWS_A_MEMBER {
+            if drawn.len() == count {
+                break;
+            }
+            if let Some(instance) = self.living.draw(random)
+                && !excluded.contains(&instance)
+                && !drawn.contains(&instance)
+            {
+                drawn.push(instance);
+            }
+        }
+        drawn
+            .into_iter()
+            .filter_map(|instance| self.get(instance))
+            .collect()
+    }
+
+    pub(crate) fn living_in(&self, zone: &AvailabilityZone) -> usize {
+        self.zones.get(zone).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
+        self.buckets.iter().flat_map(BTreeMap::values)
+    }
+
+    /// Returns the digest of the whole view, which does not depend on order.
+    pub(crate) fn root(&self) -> u64 {
+        self.digests.iter().fold(0, |root, digest| root ^ digest)
+    }
+
+    /// Puts an announcement in place of the one held and clears accusations of an older life.
+    pub(crate) fn put(&mut self, announcement: Announcement, now: Instant) {
+        let instance = announcement.member.instance.clone();
+        let mut record = Record::new(announcement, now);
+        if let Some(held) = self.get(&instance)
+            && held.announcement.member.incarnation == record.announcement.member.incarnation
+        {
+            record.accused = held.accused;
+        }
+        self.replace(&instance, record);
+    }
+
+    /// Holds an accusation against the life that is held.
+    pub(crate) fn accuse(&mut self, instance: &InstanceId, kind: AccusationKind, now: Instant) {
+        let Some(held) = self.get(instance) else {
+            return;
+        };
+        let mut record = held.clone();
+        record.accused = Some(kind);
+        record.changed = now;
+        self.replace(instance, record);
+    }
+
+    /// Returns the instances that announced a service, the dead among them.
+    pub(crate) fn service(&self, service: ServiceKey) -> &[InstanceId] {
+        self.services.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn state(&self, instance: &InstanceId) -> Option<MemberState> {
+        self.get(instance).map(Record::state)
+    }
+
+    /// Returns the accusation held against a member, as a word.
+    pub(crate) fn accusation(&self, instance: &InstanceId, accuser: u32) -> Option<Word> {
+        let record = self.get(instance)?;
+        record.accused.map(|kind| {
+            Word::Accusation(Accusation {
+                accuser,
+                incarnation: record.announcement.member.incarnation,
+                instance: instance.clone(),
+                kind,
+            })
+        })
+    }
+
+    /// Returns the newest words of a member.
+    pub(crate) fn announcement(&self, instance: &InstanceId) -> Option<Word> {
+        self.get(instance)
+            .map(|record| Word::Announcement(record.announcement.clone()))
+    }
+
+    fn count(&mut self, record: &Record) {
+        let member = &record.announcement.member;
+        let bucket = usize::from(BucketSet::bucket_of(&member.instance));
+        self.digests[bucket] ^= record.hash();
+        let zone = self
+            .zones
+            .entry(member.availability_zone.clone())
+            .or_default();
+        if record.state().is_living() {
+            self.living.insert(&member.instance);
+            *zone += 1;
+            self.addresses
+                .insert(member.control_address, member.instance.clone());
+        }
+        if let Some(service) = record.announcement.service {
+            let instances = self.services.entry(service).or_default();
+            instances.push(member.instance.clone());
+        }
+    }
+
+    fn discount(&mut self, record: &Record) {
+        let member = &record.announcement.member;
+        let bucket = usize::from(BucketSet::bucket_of(&member.instance));
+        self.digests[bucket] ^= record.hash();
+        if record.state().is_living() {
+            self.living.remove(&member.instance);
+            if let Some(zone) = self.zones.get_mut(&member.availability_zone) {
+                *zone -= 1;
+            }
+            if self.addresses.get(&member.control_address) == Some(&member.instance) {
+                self.addresses.remove(&member.control_address);
+            }
+        }
+        if let Some(service) = record.announcement.service
+            && let Some(instances) = self.services.get_mut(&service)
+        {
+            instances.retain(|held| *held != member.instance);
+        }
+    }
+
+    fn replace(&mut self, instance: &InstanceId, record: Record) {
+        let bucket = usize::from(BucketSet::bucket_of(instance));
+        if let Some(old) = self.buckets[bucket].remove(instance) {
+            self.discount(&old);
+        }
+        self.count(&record);
+        self.buckets[bucket].insert(instance.clone(), record);
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/membership/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the membership core under a clock and a delivery queue of their own.
+
+mod fleet;
+mod properties;
+mod scenarios;
--- /dev/null
+++ b/crates/membership/tests/membership/properties.rs
@@ -0,0 +1,100 @@
+//! Whatever fails and returns, no old word wins and the living agree in the end.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use medlarspool_membership::MembershipEvent;
+use medlarspool_types::Incarnation;
+use proptest::{prelude::*, test_runner::FileFailurePersistence};
+
+/// The protocol periods after the last fault within which all views agree.
+const PERIODS_TO_AGREE: u32 = 120;
+
+/// Where the seeds of failures are kept.
+const SEEDS: &str = "tests/membership/properties.seeds";
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Crash(usize),
+    Cut(u16),
+    Delay(u64),
+    Duplicate(u32),
+    Heal,
+    Leave(usize),
+    Lose(u32),
+    Pause(usize, u64),
+    Restart(usize),
+    RestartWithOldClock(usize),
+    Store(bool),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        any::<usize>().prop_map(Fault::Crash),
+        any::<u16>().prop_map(Fault::Cut),
+        (1_u64..400).prop_map(Fault::Delay),
+        (0_u32..30).prop_map(Fault::Duplicate),
+        Just(Fault::Heal),
+        any::<usize>().prop_map(Fault::Leave),
+        (0_u32..30).prop_map(Fault::Lose),
+        (any::<usize>(), 1_u64..20).prop_map(|(place, seconds)| Fault::Pause(place, seconds)),
+        any::<usize>().prop_map(Fault::Restart),
+        any::<usize>().prop_map(Fault::RestartWithOldClock),
+        any::<bool>().prop_map(Fault::Store),
+    ]
+}
+
+fn provoke(fleet: &mut Fleet, fault: &Fault) {
+    let size = fleet.places.len();
+    match *fault {
+        Fault::Crash(place) => fleet.crash(place % size),
+        Fault::Cut(mask) => {
+            for place in 0..size {
+                fleet.groups[place] = usize::from(mask >> place & 1);
+            }
+        }
+        Fault::Delay(millis) => fleet.delay = Duration::from_millis(millis),
+        Fault::Duplicate(percent) => fleet.duplicated_percent = percent,
+        Fault::Heal => fleet.groups.fill(0),
+        Fault::Leave(place) => {
+            let place = place % size;
+            fleet.event(place, MembershipEvent::Leave);
+            fleet.event(place, MembershipEvent::Stop);
+            fleet.crash(place);
+        }
+        Fault::Lose(percent) => fleet.lost_percent = percent,
+        Fault::Pause(place, seconds) => fleet.pause(place % size, Duration::from_secs(seconds)),
+        Fault::Restart(place) => fleet.begin(place % size),
+        Fault::RestartWithOldClock(place) => fleet.begin_as(place % size, Incarnation(1)),
+        Fault::Store(up) => fleet.store_up = up,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(SEEDS))),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn views_agree_after_any_faults(
+        size in 3_usize..=12,
+        zones in 1_usize..=3,
+        seed in any::<u64>(),
+        faults in prop::collection::vec((fault(), 0_u64..8_000), 1..24),
+    ) {
+        let mut fleet = Fleet::settled(size, zones, seed);
+        for (fault, wait_ms) in &faults {
+            provoke(&mut fleet, fault);
+            fleet.run(Duration::from_millis(*wait_ms));
+        }
+        fleet.delay = Duration::from_millis(40);
+        fleet.duplicated_percent = 0;
+        fleet.groups.fill(0);
+        fleet.lost_percent = 0;
+        fleet.store_up = true;
+        let periods = fleet.periods_until(PERIODS_TO_AGREE, Fleet::agrees);
+        prop_assert!(periods.is_some(), "views differ after {PERIODS_TO_AGREE} periods");
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/membership/scenarios.rs
@@ -0,0 +1,242 @@
+//! Focused tests of what daemons notice and how soon, counted in protocol periods.
+
+use std::time::Duration;
+
+use crate::fleet::{Fleet, address, instance};
+use medlarspool_membership::{MemberState, MembershipEvent, Message, UpstreamState, Word};
+use medlarspool_types::{Incarnation, ServiceName};
+use rstest::rstest;
+
+const SERVICE: &str = "sky-map";
+
+fn service() -> ServiceName {
+    SERVICE.parse().unwrap()
+}
+
+#[rstest]
+#[case::three(3, 1)]
+#[case::twelve(12, 3)]
+#[case::fifty(50, 3)]
+fn a_fleet_forms_from_nothing(#[case] size: usize, #[case] zones: usize) {
+    let fleet = Fleet::settled(size, zones, 1);
+    assert!(fleet.agrees());
+}
+
+#[rstest]
+#[case::quiet(0)]
+#[case::a_tenth_lost(10)]
+fn a_crash_is_noticed_by_all(#[case] lost_percent: u32) {
+    let mut fleet = Fleet::settled(12, 3, 2);
+    fleet.lost_percent = lost_percent;
+    fleet.crash(5);
+    assert!(fleet.periods_until(40, Fleet::agrees).is_some());
+    assert_eq!(fleet.state(0, 5), Some(MemberState::Dead));
+}
+
+#[test]
+fn nobody_living_is_held_dead_while_a_tenth_is_lost() {
+    let mut fleet = Fleet::settled(50, 3, 3);
+    fleet.lost_percent = 10;
+    fleet.checked = false;
+    fleet.run(Duration::from_mins(2));
+    let deaths: u64 = (0..50)
+        .map(|place| fleet.core(place).counters().deaths_found)
+        .sum();
+    assert_eq!(deaths, 0);
+}
+
+#[test]
+fn leaving_reaches_all_within_three_seconds_while_a_tenth_is_lost() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::settled(50, 3, seed);
+        fleet.checked = false;
+        fleet.lost_percent = 10;
+        fleet.event(7, MembershipEvent::Leave);
+        fleet.run(Duration::from_secs(3));
+        for viewer in 0..50 {
+            assert_eq!(fleet.state(viewer, 7), Some(MemberState::Leaving), "{seed}");
+        }
+    }
+}
+
+#[test]
+fn a_stopped_daemon_is_remembered_as_left() {
+    let mut fleet = Fleet::settled(6, 2, 4);
+    fleet.event(2, MembershipEvent::Leave);
+    fleet.event(2, MembershipEvent::Stop);
+    fleet.run(Duration::from_secs(1));
+    fleet.crash(2);
+    assert!(fleet.periods_until(10, Fleet::agrees).is_some());
+    assert_eq!(fleet.state(0, 2), Some(MemberState::Left));
+}
+
+#[test]
+fn a_paused_daemon_finds_its_lease_lapsed_before_it_hears_anything() {
+    let mut fleet = Fleet::settled(6, 2, 5);
+    assert!(fleet.core(1).lease_valid(fleet.now));
+    let before = fleet.core(1).me().member.incarnation;
+    fleet.pause(1, Duration::from_secs(5));
+    fleet.run(Duration::from_millis(4_990));
+    assert!(!fleet.core(1).lease_valid(fleet.now));
+    fleet.run(Duration::from_secs(4));
+    assert!(fleet.core(1).lease_valid(fleet.now));
+    assert!(fleet.core(1).me().member.incarnation > before);
+    assert!(fleet.periods_until(20, Fleet::agrees).is_some());
+}
+
+#[test]
+fn a_daemon_that_all_others_are_cut_from_loses_its_lease() {
+    let mut fleet = Fleet::settled(6, 2, 6);
+    fleet.groups[3] = 1;
+    fleet.run(Duration::from_mins(2));
+    assert!(!fleet.core(3).lease_valid(fleet.now));
+    assert!(fleet.core(0).lease_valid(fleet.now));
+}
+
+#[test]
+fn a_new_life_whose_clock_stepped_back_overrules_its_old_one() {
+    let mut fleet = Fleet::settled(6, 2, 7);
+    fleet.crash(4);
+    fleet.begin_as(4, Incarnation(5));
+    assert!(fleet.periods_until(60, Fleet::agrees).is_some());
+    assert!(fleet.core(4).me().member.incarnation > Incarnation(5));
+}
+
+#[test]
+fn a_new_life_finds_the_others_while_the_store_is_down() {
+    let mut fleet = Fleet::settled(8, 2, 8);
+    fleet.store_up = false;
+    fleet.crash(4);
+    fleet.run(Duration::from_mins(1));
+    fleet.begin(4);
+    assert!(fleet.periods_until(60, Fleet::agrees).is_some());
+}
+
+#[test]
+fn those_that_run_go_on_without_the_store() {
+    let mut fleet = Fleet::settled(8, 2, 9);
+    fleet.store_up = false;
+    fleet.run(Duration::from_mins(10));
+    assert!(fleet.agrees());
+}
+
+#[rstest]
+#[case::lapsed(MembershipEvent::UpstreamLapsed, UpstreamState::Lapsed)]
+#[case::leaving(MembershipEvent::UpstreamLeaving, UpstreamState::Leaving)]
+#[case::refusing(MembershipEvent::UpstreamRefused, UpstreamState::Refusing)]
+fn an_upstream_that_ends_is_told_with_its_reason(
+    #[case] event: MembershipEvent,
+    #[case] expected: UpstreamState,
+) {
+    let mut fleet = Fleet::settled(6, 2, 10);
+    fleet.announce_upstream(3, SERVICE, false);
+    fleet.run(Duration::from_secs(3));
+    assert!(
+        fleet
+            .core(0)
+            .upstreams(&service())
+            .all(|one| one.takes_work())
+    );
+    fleet.event(3, event);
+    fleet.run(Duration::from_secs(3));
+    for viewer in 0..6 {
+        let core = fleet.core(viewer);
+        let upstream = core.upstreams(&service()).next().unwrap();
+        assert_eq!(upstream.announcement.upstream, expected);
+        assert!(!upstream.takes_work());
+    }
+}
+
+#[test]
+fn an_upstream_that_announced_its_leaving_is_not_revived_by_renewing() {
+    let mut fleet = Fleet::settled(3, 1, 11);
+    fleet.announce_upstream(1, SERVICE, false);
+    fleet.event(1, MembershipEvent::UpstreamLeaving);
+    fleet.announce_upstream(1, SERVICE, false);
+    assert_eq!(fleet.core(1).me().upstream, UpstreamState::Leaving);
+}
+
+#[test]
+fn detail_is_held_only_where_it_is_wanted() {
+    let mut fleet = Fleet::settled(8, 2, 12);
+    fleet.announce_upstream(1, SERVICE, true);
+    fleet.announce_upstream(2, SERVICE, false);
+    fleet.event(5, MembershipEvent::InterestBegan(service()));
+    fleet.run(Duration::from_secs(20));
+    let details = |fleet: &Fleet, place: usize| {
+        let core = fleet.core(place);
+        core.upstreams(&service())
+            .filter(|upstream| upstream.detail.is_some())
+            .count()
+    };
+    assert_eq!(
+        [0, 1, 2, 5, 6].map(|place| details(&fleet, place)),
+        [0, 2, 2, 2, 0]
+    );
+    fleet.announce_upstream(1, SERVICE, false);
+    fleet.run(Duration::from_secs(20));
+    let is_cold = fleet
+        .core(5)
+        .upstreams(&service())
+        .any(|upstream| upstream.detail.is_some_and(|detail| detail.cold));
+    assert!(!is_cold);
+}
+
+#[test]
+fn a_refused_connection_hastens_the_suspicion() {
+    let mut fleet = Fleet::settled(12, 3, 13);
+    fleet.crash(5);
+    let event = MembershipEvent::ConnectionRefused {
+        instance: instance(5),
+    };
+    fleet.event(0, event);
+    fleet.run(Duration::from_millis(1_500));
+    assert_eq!(fleet.state(0, 5), Some(MemberState::Suspect));
+}
+
+#[test]
+fn a_replaced_instance_at_the_same_address_displaces_the_old_one() {
+    let mut fleet = Fleet::settled(4, 1, 14);
+    let mut member = fleet.core(3).me().clone();
+    member.member.instance = "instance-9".parse().unwrap();
+    member.member.incarnation = member.member.incarnation.next();
+    let event = MembershipEvent::Received {
+        address: address(3),
+        incarnation: member.member.incarnation,
+        message: Message::Gossip {
+            words: vec![Word::Announcement(member)],
+        },
+        sender: "instance-9".parse().unwrap(),
+    };
+    fleet.checked = false;
+    fleet.event(0, event);
+    assert_eq!(fleet.state(0, 3), Some(MemberState::Dead));
+}
+
+#[rstest]
+#[case::minutes(Duration::from_mins(5))]
+#[case::an_hour(Duration::from_hours(1))]
+fn separated_regions_meet_again(#[case] apart: Duration) {
+    let mut fleet = Fleet::settled(12, 2, 15);
+    for place in 0..12 {
+        fleet.groups[place] = place % 2;
+    }
+    fleet.run(apart);
+    fleet.groups = vec![0; 12];
+    assert!(fleet.periods_until(60, Fleet::agrees).is_some());
+}
+
+#[test]
+fn a_sole_survivor_holds_all_others_dead() {
+    let mut fleet = Fleet::settled(5, 1, 601_133_241_504_759_982);
+    for place in [0, 1, 2, 4] {
+        fleet.crash(place);
+    }
+    assert!(fleet.periods_until(120, Fleet::agrees).is_some());
+}
+
+#[test]
+fn availability_zones_that_started_apart_meet() {
+    let fleet = Fleet::settled(7, 3, 6_085_097_167_228_334_048);
+    assert!(fleet.agrees());
+}
