Let a daemon that knows nobody begin anew at each sign of others

Cause: a daemon whose only peer died had finished its join, so that neither seed rows nor a ping made it ask for the view again.

Change: both begin a join; a ping from a member not held living leads to a comparison of views, within the allowance for pages.

--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -111,15 +111,14 @@
     pub(crate) fn receive_ping(
         &mut self,
         address: Address,
+        sender: &InstanceId,
         number: u64,
         words: Vec<Word>,
         now: Instant,
         actions: &mut Vec<MembershipAction>,
     ) {
         let was_accused = self.apply_words(words, true, now, actions);
-        if self.view.living() == 1 {
-            self.repair.contacts.push(address);
-        }
+        self.meet_stranger(address, sender, now, actions);
         let mut words = self.piggyback(now);
         if was_accused {
             words.insert(0, Word::Announcement(self.me.clone()));
--- a/crates/membership/src/receiving.rs
+++ b/crates/membership/src/receiving.rs
@@ -41,7 +41,7 @@
             }
             Message::Nack { number } => self.receive_nack(number),
             Message::Ping { number, words } => {
-                self.receive_ping(address, number, words, now, actions);
+                self.receive_ping(address, sender, number, words, now, actions);
             }
             Message::PingRequest {
                 address: subject_address,
--- a/crates/membership/src/repair.rs
+++ b/crates/membership/src/repair.rs
@@ -53,6 +53,13 @@
         self.wanted.is_empty()
     }
 
+    /// Asks for everything, beginning with given addresses.
+    pub(crate) fn join(&mut self, contacts: Vec<Address>, now: Instant) {
+        self.contacts = contacts;
+        self.next_page = now;
+        self.wanted = BucketSet::ALL;
+    }
+
     /// Takes note that views agreed, so that they are compared more rarely.
     pub(crate) fn matched(&mut self, longest: Duration) {
         self.interval = (self.interval * 2).min(longest);
--- a/crates/membership/src/repairing.rs
+++ b/crates/membership/src/repairing.rs
@@ -3,8 +3,8 @@
 use medlarspool_types::{Address, InstanceId};
 
 use crate::{
-    AccusationKind, Announcement, BucketSet, Membership, MembershipAction, Message, Word,
-    gossiping::ROOM_BYTES, merge::as_suspicion, record::Record, repair::jitter,
+    AccusationKind, Announcement, BucketSet, MemberState, Membership, MembershipAction, Message,
+    Word, gossiping::ROOM_BYTES, merge::as_suspicion, record::Record, repair::jitter,
 };
 
 /// The other members named to a daemon that is told to come back later.
@@ -23,6 +23,25 @@
         }
     }
 
+    /// Compares views with a daemon that speaks up though this one does not hold it living.
+    pub(crate) fn meet_stranger(
+        &mut self,
+        address: Address,
+        sender: &InstanceId,
+        now: Instant,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if self.view.state(sender).is_some_and(MemberState::is_living) {
+            return;
+        }
+        if self.view.living() == 1 {
+            self.repair.join(vec![address], now);
+        } else if self.page_tokens.try_take(now) {
+            let root = self.view.root();
+            self.send(address, Message::DigestRequest { root }, actions);
+        }
+    }
+
     pub(crate) fn receive_busy(
         &mut self,
         retry_after: std::time::Duration,
--- a/crates/membership/src/seeding.rs
+++ b/crates/membership/src/seeding.rs
@@ -50,8 +50,8 @@
     ) {
         let strangers: Vec<&SeedRow> = rows.iter().filter(|row| self.is_stranger(row)).collect();
         if self.is_lonely() {
-            self.repair.contacts = strangers.iter().map(|row| row.control_address).collect();
-            self.repair.next_page = now;
+            let contacts = strangers.iter().map(|row| row.control_address);
+            self.repair.join(contacts.collect(), now);
         } else {
             for row in strangers.iter().filter(|row| row.expires > system_now) {
                 let root = self.view.root();
--- a/crates/membership/tests/membership/fleet.rs
+++ b/crates/membership/tests/membership/fleet.rs
@@ -155,6 +155,29 @@
         self.places[place].core.as_ref().unwrap()
     }
 
+    /// Returns what each core holds of the others, for the report of a failure.
+    pub fn describe(&self) -> String {
+        let mut lines = Vec::new();
+        for (place, held) in self.places.iter().enumerate() {
+            let Some(core) = &held.core else {
+                continue;
+            };
+            let members = core.members().map(|member| {
+                let words = member.announcement;
+                let life = words.member.incarnation;
+                let instance = &words.member.instance;
+                format!("{instance}@{life}.{} {}", words.sequence, member.state)
+            });
+            let members: Vec<String> = members.collect();
+            lines.push(format!(
+                "{place}: {} {:?}",
+                members.join(", "),
+                core.counters()
+            ));
+        }
+        lines.join("\n")
+    }
+
     pub fn elapsed(&self) -> Duration {
         self.now - self.start
     }
--- a/crates/membership/tests/membership/properties.rs
+++ b/crates/membership/tests/membership/properties.rs
@@ -95,6 +95,6 @@
         fleet.lost_percent = 0;
         fleet.store_up = true;
         let periods = fleet.periods_until(PERIODS_TO_AGREE, Fleet::agrees);
-        prop_assert!(periods.is_some(), "views differ after {PERIODS_TO_AGREE} periods");
+        prop_assert!(periods.is_some(), "views differ:\n{}", fleet.describe());
     }
 }
--- a/crates/membership/tests/membership/scenarios.rs
+++ b/crates/membership/tests/membership/scenarios.rs
@@ -240,3 +240,17 @@
     let fleet = Fleet::settled(7, 3, 6_085_097_167_228_334_048);
     assert!(fleet.agrees());
 }
+
+#[test]
+fn a_new_life_whose_only_peer_died_finds_the_others() {
+    let mut fleet = Fleet::settled(6, 1, 16);
+    fleet.groups[4] = 1;
+    fleet.groups[1] = 1;
+    fleet.begin(4);
+    fleet.run(Duration::from_secs(30));
+    fleet.crash(1);
+    fleet.store_up = false;
+    fleet.run(Duration::from_mins(3));
+    fleet.groups.fill(0);
+    assert!(fleet.periods_until(120, Fleet::agrees).is_some());
+}
