--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -5,10 +5,10 @@
 
 use crate::CommandError;
 
-/// The time after which a call to the platform is given up.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time after which a call to the platform or a daemon is given up.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A subcommand's parsed options.
+/// A subcommand's parsed command line.
 pub(crate) struct Arguments(Matches);
 
 impl Arguments {
@@ -19,13 +19,20 @@
             .map_err(|error| CommandError::Usage(error.to_string()))
     }
 
+    pub(crate) fn flag(&self, name: &str) -> bool {
+        self.0.opt_present(name)
+    }
+
+    pub(crate) fn json(&self) -> bool {
+        self.flag("json")
+    }
+
     pub(crate) fn optional(&self, name: &str) -> Option<String> {
         self.0.opt_str(name)
     }
 
     pub(crate) fn required(&self, name: &str) -> Result<String, CommandError> {
-        let missing = || CommandError::Usage(format!("`--{name}` is missing"));
-        self.optional(name).ok_or_else(missing)
+        self.optional(name).ok_or_else(|| missing(name))
     }
 
     pub(crate) fn parsed<T: FromStr>(&self, name: &str) -> Result<Option<T>, CommandError> {
@@ -36,10 +43,19 @@
         text.parse().map(Some).map_err(refused)
     }
 
+    /// Returns the arguments that are no options; there must be exactly as many.
+    pub(crate) fn operands<const N: usize>(&self) -> Result<[&str; N], CommandError> {
+        let operands: Vec<&str> = self.0.free.iter().map(String::as_str).collect();
+        let found = operands.len();
+        operands.try_into().map_err(|_| {
+            CommandError::Usage(format!("`{found}` operands are given but `{N}` are needed"))
+        })
+    }
+
     pub(crate) fn platform(&self) -> Result<HttpPlatform, CommandError> {
-        let missing = || CommandError::Usage("`--platform` is missing".into());
-        let address: SocketAddr = self.parsed("platform")?.ok_or_else(missing)?;
-        Ok(HttpPlatform::new(address, &self.token()?, PLATFORM_TIMEOUT))
+        let address: Option<SocketAddr> = self.parsed("platform")?;
+        let address = address.ok_or_else(|| missing("platform"))?;
+        Ok(HttpPlatform::new(address, &self.token()?, CALL_TIMEOUT))
     }
 
     pub(crate) fn token(&self) -> Result<String, CommandError> {
@@ -50,6 +66,10 @@
     }
 }
 
+pub(crate) fn missing(name: &str) -> CommandError {
+    CommandError::Usage(format!("`--{name}` is missing"))
+}
+
 pub(crate) fn read_file(path: &str) -> Result<String, CommandError> {
     std::fs::read_to_string(path).map_err(|error| CommandError::File {
         path: path.into(),
@@ -57,13 +77,26 @@
     })
 }
 
+/// Writes a file beside its place first, so that it is never half written.
+pub(crate) fn write_file(path: &str, content: &str) -> Result<(), CommandError> {
+    let unfinished = format!("{path}.unfinished");
+    let written =
+        std::fs::write(&unfinished, content).and_then(|()| std::fs::rename(&unfinished, path));
+    written.map_err(|error| CommandError::File {
+        path: path.into(),
+        reason: error.to_string(),
+    })
+}
+
 pub(crate) fn add_platform(options: &mut Options) {
     options.optopt("", "platform", "address of the platform", "IP:PORT");
     options.optopt("", "token", "token for the platform", "TOKEN");
     options.optopt("", "token-file", "file that holds the token", "FILE");
 }
 
-pub(crate) fn add_lists(options: &mut Options) {
-    options.optopt("", "customers", "the customers' list", "FILE");
-    options.optopt("", "plans", "the plans' list", "FILE");
+pub(crate) fn add_daemon(options: &mut Options) {
+    let text = "administration address of a daemon";
+    options.optopt("", "daemon", text, "IP:PORT");
+    options.optopt("", "token", "operators' token of the daemon", "TOKEN");
+    options.optopt("", "token-file", "file that holds the token", "FILE");
 }
--- a/crates/command/src/command_error.rs
+++ b/crates/command/src/command_error.rs
@@ -1,7 +1,10 @@
+use std::net::SocketAddr;
+
 use displaydoc::Display;
 use medlarspool_config::ConfigError;
 use medlarspool_platform::{CommitError, PlatformError};
 use medlarspool_types::ConfigVersion;
+use serde_json::json;
 
 /// Why the command failed; each kind has an exit code of its own.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -10,6 +13,13 @@
     Commit(CommitError),
     /// {0}
     Config(ConfigError),
+    /// daemon `{address}`: {reason}
+    Daemon {
+        /// Its administration address.
+        address: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
     /// `{path}`: {reason}
     File {
         /// The file.
@@ -22,6 +32,8 @@
         /// The newest version.
         head: ConfigVersion,
     },
+    /// {0} is not listed; not accepted
+    NoEntry(String),
     /// can't write the output: {0}
     Output(String),
     /// {0}
@@ -31,12 +43,22 @@
 }
 
 impl CommandError {
+    /// Returns what is printed on standard error: JSON if the command line asks for it.
+    #[must_use]
+    pub fn report(&self, arguments: &[String]) -> String {
+        let text = self.to_string();
+        if arguments.iter().any(|argument| argument == "--json") {
+            return json!({ "error": text, "exit_code": self.exit_code() }).to_string();
+        }
+        format!("medlarspool: {text}")
+    }
+
     /// Returns the process's exit code.
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Commit(CommitError::OutcomeUnknown { .. }) => 5,
-            Self::Commit(CommitError::Platform(_)) | Self::Platform(_) => 4,
+            Self::Commit(CommitError::Platform(_)) | Self::Daemon { .. } | Self::Platform(_) => 4,
             Self::Commit(
                 CommitError::Clash { .. }
                 | CommitError::Conflict { .. }
@@ -47,7 +69,8 @@
                 | CommitError::UnknownVersion(_)
                 | CommitError::Withdrawn(_),
             )
-            | Self::Config(_) => 3,
+            | Self::Config(_)
+            | Self::NoEntry(_) => 3,
             Self::File { .. } | Self::NoBase { .. } | Self::Usage(_) => 2,
             Self::Output(_) => 1,
         }
--- /dev/null
+++ b/crates/command/src/console.rs
@@ -0,0 +1,26 @@
+use std::io::{Read, Write};
+
+use medlarspool_types::Clock;
+
+/// What the command reads from and writes to, so that tests can stand in for a terminal.
+pub struct Console<'process> {
+    /// Tells when an operator asked for a change.
+    pub clock: &'process dyn Clock,
+    /// Standard input.
+    pub input: &'process mut dyn Read,
+    /// Standard output.
+    pub output: &'process mut dyn Write,
+}
+
+impl Console<'_> {
+    /// Returns the time in milliseconds since the Unix epoch.
+    pub(crate) fn now_ms(&self) -> u64 {
+        let since = self
+            .clock
+            .system_now()
+            .duration_since(std::time::UNIX_EPOCH);
+        since.map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+}
--- /dev/null
+++ b/crates/command/src/daemon_client.rs
@@ -0,0 +1,57 @@
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use ureq::Agent;
+
+use crate::{
+    CommandError,
+    arguments::{Arguments, CALL_TIMEOUT, missing},
+};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 256 * 1024 * 1024;
+
+/// Asks one daemon over its administration address.
+pub(crate) struct DaemonClient {
+    address: SocketAddr,
+    agent: Agent,
+    authorization: String,
+}
+
+impl DaemonClient {
+    pub(crate) fn new(arguments: &Arguments) -> Result<Self, CommandError> {
+        let address = arguments.parsed("daemon")?;
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_global(Some(CALL_TIMEOUT))
+            .build();
+        Ok(Self {
+            address: address.ok_or_else(|| missing("daemon"))?,
+            agent: config.into(),
+            authorization: format!("Bearer {}", arguments.token()?),
+        })
+    }
+
+    pub(crate) fn get(&self, path: &str) -> Result<Value, CommandError> {
+        let request = self.agent.get(format!("http://{}{path}", self.address));
+        let sent = request.header("authorization", &self.authorization).call();
+        let mut response = sent.map_err(|error| self.failed(error.to_string()))?;
+        let status = response.status().as_u16();
+        if status != 200 {
+            return Err(self.failed(format!("status `{status}`")));
+        }
+        let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+        let body = body.read_to_vec();
+        let body = body.map_err(|error| self.failed(error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| self.failed(error.to_string()))
+    }
+
+    pub(crate) fn failed(&self, reason: String) -> CommandError {
+        CommandError::Daemon {
+            address: self.address,
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/command/src/edit.rs
@@ -0,0 +1,132 @@
+use std::{str::FromStr, time::Duration};
+
+use getopts::Options;
+use medlarspool_config::{CustomerEntry, EntryChange, Lists, ListsPatch, PlanEntry, ServiceEntry};
+use medlarspool_types::ServiceName;
+
+use crate::{
+    CommandError, Console,
+    arguments::{self, Arguments, missing},
+    get, submit,
+};
+
+pub(crate) fn add_options(options: &mut Options) {
+    arguments::add_platform(options);
+    options.optflag("", "remove", "remove the entry");
+    options.optopt("", "plan", "customer: its plan", "PLAN");
+    let text = "customer: hash of its credential; see `medlarspool credential`";
+    options.optopt("", "credential-sha256", text, "HASH");
+    options.optopt(
+        "",
+        "uses",
+        "plan: services, with commas between",
+        "SERVICES",
+    );
+    options.optopt("", "weight", "plan: share of a busy upstream", "NUMBER");
+    let text = "service: largest request body";
+    options.optopt("", "max-request-bytes", text, "BYTES");
+    let text = "service: timeout of a request that names no deadline";
+    options.optopt("", "timeout-ms", text, "MILLISECONDS");
+    submit::add_options(options);
+}
+
+/// Changes one entry of the newest version; fields that are not named stay as they are.
+pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<(), CommandError> {
+    let [kind, id] = arguments.operands()?;
+    let platform = arguments.platform()?;
+    let (head, lists) = get::fetch(&platform, None)?;
+    let change = match kind {
+        "customer" => customer(arguments, &lists, id)?,
+        "plan" => plan(arguments, &lists, id)?,
+        "service" => service(arguments, &lists, id)?,
+        _ => {
+            let text = format!("`{kind}` is none of `customer`, `plan` and `service`");
+            return Err(CommandError::Usage(text));
+        }
+    };
+    let edited = ListsPatch::new([change]).apply(&lists)?;
+    submit::submit(arguments, console, &platform, head.version, edited)?;
+    Ok(())
+}
+
+fn customer(arguments: &Arguments, lists: &Lists, id: &str) -> Result<EntryChange, CommandError> {
+    let customer = parse_id(id)?;
+    let held = lists.customer(&customer);
+    if arguments.flag("remove") {
+        held.ok_or_else(|| absent("customer", id))?;
+        return Ok(EntryChange::RemoveCustomer(customer));
+    }
+    let credential = field(
+        arguments,
+        "credential-sha256",
+        held.map(|e| e.credential_sha256),
+    )?;
+    let plan = field(arguments, "plan", held.map(|e| e.plan.clone()))?;
+    Ok(EntryChange::PutCustomer(CustomerEntry {
+        credential_sha256: credential,
+        customer,
+        plan,
+    }))
+}
+
+fn plan(arguments: &Arguments, lists: &Lists, id: &str) -> Result<EntryChange, CommandError> {
+    let plan = parse_id(id)?;
+    let held = lists.plan(&plan);
+    if arguments.flag("remove") {
+        held.ok_or_else(|| absent("plan", id))?;
+        return Ok(EntryChange::RemovePlan(plan));
+    }
+    let uses = match arguments.optional("uses") {
+        Some(names) => services(&names)?,
+        None => held
+            .map(|e| e.uses.clone())
+            .ok_or_else(|| missing("uses"))?,
+    };
+    let weight = field(arguments, "weight", held.map(|e| e.weight))?;
+    Ok(EntryChange::PutPlan(PlanEntry { plan, uses, weight }))
+}
+
+fn service(arguments: &Arguments, lists: &Lists, id: &str) -> Result<EntryChange, CommandError> {
+    let service = parse_id(id)?;
+    let held = lists.service(&service);
+    if arguments.flag("remove") {
+        held.ok_or_else(|| absent("service", id))?;
+        return Ok(EntryChange::RemoveService(service));
+    }
+    let timeout_ms = match arguments.parsed("timeout-ms")?.map(Duration::from_millis) {
+        Some(timeout_ms) => timeout_ms,
+        None => held
+            .map(|e| e.timeout_ms)
+            .ok_or_else(|| missing("timeout-ms"))?,
+    };
+    let held_bytes = held.map(|e| e.max_request_bytes);
+    Ok(EntryChange::PutService(ServiceEntry {
+        max_request_bytes: field(arguments, "max-request-bytes", held_bytes)?,
+        service,
+        timeout_ms,
+    }))
+}
+
+/// Returns a field's new value, or the one it has.
+fn field<T: FromStr>(
+    arguments: &Arguments,
+    name: &str,
+    held: Option<T>,
+) -> Result<T, CommandError> {
+    let given = arguments.parsed(name)?;
+    given.or(held).ok_or_else(|| missing(name))
+}
+
+fn services(names: &str) -> Result<Vec<ServiceName>, CommandError> {
+    let names = names.split(',').filter(|name| !name.is_empty());
+    names.map(parse_id).collect()
+}
+
+fn parse_id<T: FromStr<Err = medlarspool_types::IdError>>(id: &str) -> Result<T, CommandError> {
+    id.parse()
+        .map_err(|error| CommandError::Usage(format!("{error}")))
+}
+
+fn absent(kind: &str, id: &str) -> CommandError {
+    CommandError::NoEntry(format!("{kind} `{id}`"))
+}
--- a/crates/command/src/lib.rs
+++ b/crates/command/src/lib.rs
@@ -1,8 +1,28 @@
-//! The operators' command: check, put and look at the two lists.
+//! The operators' command: check, put and look at the two lists and at the daemons.
 
 mod arguments;
+mod base_line;
+mod check;
 mod command_error;
+mod console;
+mod credential;
+mod daemon_client;
+mod dump;
+mod edit;
+mod fleet_status;
+mod get;
+mod history;
+mod instance_status;
+mod list_paths;
 mod put;
+mod restore;
 mod run;
+mod status;
+mod subcommand;
+mod submit;
+mod utc;
 
-pub use crate::{command_error::CommandError, run::run};
+pub use crate::{
+    command_error::CommandError, console::Console, fleet_status::FleetStatus,
+    instance_status::InstanceStatus, run::run,
+};
--- a/crates/command/src/put.rs
+++ b/crates/command/src/put.rs
@@ -1,66 +1,63 @@
-use std::{io::Write, time::SystemTime};
-
 use getopts::Options;
-use medlarspool_config::Lists;
-use medlarspool_platform::{Change, CommitOutcome, commit, read_head};
-use medlarspool_types::{ChangeId, ConfigVersion};
+use medlarspool_platform::{CommitOutcome, Platform, read_head};
+use medlarspool_types::ConfigVersion;
 
 use crate::{
-    CommandError,
+    CommandError, Console,
     arguments::{self, Arguments},
+    base_line::with_base_version,
+    list_paths::{self, ListTexts},
+    submit,
 };
 
-pub(crate) fn run(arguments: &[String], output: &mut dyn Write) -> Result<(), CommandError> {
-    let mut options = Options::new();
-    arguments::add_platform(&mut options);
-    arguments::add_lists(&mut options);
-    options.optopt("", "base", "version that the lists started from", "VERSION");
-    options.optopt("", "change", "id of the change", "ID");
-    let arguments = Arguments::parse(&options, arguments)?;
-    let customers = arguments::read_file(&arguments.required("customers")?)?;
-    let plans = arguments::read_file(&arguments.required("plans")?)?;
-    let lists = Lists::parse(&customers, &plans)?;
+pub(crate) fn add_options(options: &mut Options) {
+    arguments::add_platform(options);
+    list_paths::add_options(options);
+    let text = "version that the lists are an edited copy of, if they don't name it";
+    options.optopt("", "base", text, "VERSION");
+    let text = "leave `base_version` in the two files as it is";
+    options.optflag("", "keep-files", text);
+    submit::add_options(options);
+}
+
+pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<(), CommandError> {
+    arguments.operands::<0>()?;
+    let texts = ListTexts::read(arguments)?;
+    let parsed = texts.parse()?;
     let platform = arguments.platform()?;
-    let head = read_head(&platform)?.unwrap_or_default();
-    let base = match arguments.parsed("base")?.map(ConfigVersion) {
-        Some(base) => Some(base),
-        None => Lists::base_version(&customers, &plans)?,
-    };
-    let base = match base {
-        Some(base) => base,
-        None if head.version == ConfigVersion::NONE => ConfigVersion::NONE,
-        None => return Err(CommandError::NoBase { head: head.version }),
-    };
-    let asked_at_ms = epoch_ms();
-    let drawn = format!("{asked_at_ms}-{}", std::process::id());
-    let drawn: ChangeId = drawn.parse().map_err(|_| CommandError::Usage(drawn))?;
-    let resumed: Option<ChangeId> = arguments.parsed("change")?;
-    let change = Change {
-        asked_at_ms,
-        base,
-        sent_before: resumed.is_some(),
-        id: resumed.unwrap_or(drawn),
-        lists,
-        operator: std::env::var("USER").unwrap_or_default(),
-    };
-    match commit(&platform, &change)? {
-        CommitOutcome::Accepted { head, .. } => {
-            writeln!(output, "accepted as version {}", head.version)?;
-        }
-        CommitOutcome::Unchanged { head } => {
-            writeln!(
-                output,
-                "unchanged: version {} holds it already",
-                head.version
-            )?;
-        }
+    let named = arguments.parsed("base")?.map(ConfigVersion);
+    let base = base(&platform, named.or(parsed.base_version))?;
+    let outcome = submit::submit(arguments, console, &platform, base, parsed.lists)?;
+    match outcome {
+        // After a rebase the files lack others' edits, and their old base keeps it so known.
+        CommitOutcome::Accepted {
+            head,
+            rebased: false,
+        } if !arguments.flag("keep-files") => rebase_files(&texts, head.version),
+        _ => Ok(()),
+    }
+}
+
+/// Lists that name no base can only be the first ones.
+fn base(
+    platform: &dyn Platform,
+    named: Option<ConfigVersion>,
+) -> Result<ConfigVersion, CommandError> {
+    if let Some(base) = named {
+        return Ok(base);
+    }
+    let head = read_head(platform)?.unwrap_or_default();
+    if head.version == ConfigVersion::NONE {
+        return Ok(ConfigVersion::NONE);
     }
-    Ok(())
+    Err(CommandError::NoBase { head: head.version })
 }
 
-fn epoch_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
+/// Writes the version that the lists have become into the operator's files, so that they can be
+/// edited and put again.
+fn rebase_files(texts: &ListTexts, version: ConfigVersion) -> Result<(), CommandError> {
+    let customers = with_base_version(&texts.customers, version);
+    arguments::write_file(&texts.customers_path, &customers)?;
+    let plans = with_base_version(&texts.plans, version);
+    arguments::write_file(&texts.plans_path, &plans)
 }
--- /dev/null
+++ b/crates/command/src/restore.rs
@@ -0,0 +1,25 @@
+use getopts::Options;
+use medlarspool_types::ConfigVersion;
+
+use crate::{
+    CommandError, Console,
+    arguments::{self, Arguments},
+    get, submit,
+};
+
+pub(crate) fn add_options(options: &mut Options) {
+    arguments::add_platform(options);
+    submit::add_options(options);
+}
+
+/// An old version's lists become a new, higher version; history is never rewritten.
+pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<(), CommandError> {
+    let [version] = arguments.operands()?;
+    let refused = |_| CommandError::Usage(format!("`{version}` is no version"));
+    let version = ConfigVersion(version.parse().map_err(refused)?);
+    let platform = arguments.platform()?;
+    let (_, lists) = get::fetch(&platform, Some(version))?;
+    let (head, _) = get::fetch(&platform, None)?;
+    submit::submit(arguments, console, &platform, head.version, lists)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/command/src/status.rs
@@ -0,0 +1,110 @@
+use std::time::Duration;
+
+use getopts::Options;
+use medlarspool_types::ConfigVersion;
+
+use crate::{
+    CommandError, Console, FleetStatus, InstanceStatus,
+    arguments::{self, Arguments},
+    daemon_client::DaemonClient,
+};
+
+/// The time between two looks of `--watch`.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+
+pub(crate) fn add_options(options: &mut Options) {
+    arguments::add_daemon(options);
+    options.optflag(
+        "",
+        "watch",
+        "look again and again, and print what has changed",
+    );
+    let text = "with --watch: end once every daemon holds this version";
+    options.optopt("", "until", text, "VERSION");
+}
+
+/// One daemon answers for all, as far as membership has told it of them.
+pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<(), CommandError> {
+    arguments.operands::<0>()?;
+    let daemon = DaemonClient::new(arguments)?;
+    let until = arguments.parsed("until")?.map(ConfigVersion);
+    let mut last = fetch(&daemon)?;
+    tell(arguments, console, &last)?;
+    while arguments.flag("watch") && !is_over(&last, until) {
+        std::thread::sleep(WATCH_INTERVAL);
+        let next = fetch(&daemon)?;
+        if differ(&next, &last) {
+            tell(arguments, console, &next)?;
+        }
+        last = next;
+    }
+    Ok(())
+}
+
+fn fetch(daemon: &DaemonClient) -> Result<FleetStatus, CommandError> {
+    let answer = daemon.get("/status")?;
+    let mut status: FleetStatus =
+        serde_json::from_value(answer).map_err(|error| daemon.failed(error.to_string()))?;
+    status
+        .instances
+        .sort_by(|one, other| one.instance.cmp(&other.instance));
+    Ok(status)
+}
+
+fn is_over(status: &FleetStatus, until: Option<ConfigVersion>) -> bool {
+    until.is_some_and(|until| status.holders(until) == status.instances.len())
+}
+
+/// Tells whether two answers differ in more than the time since word came.
+fn differ(one: &FleetStatus, other: &FleetStatus) -> bool {
+    let same = |one: &InstanceStatus, other: &InstanceStatus| {
+        one.instance == other.instance && one.version == other.version && one.state == other.state
+    };
+    let mut pairs = one.instances.iter().zip(&other.instances);
+    one.newest != other.newest
+        || one.instances.len() != other.instances.len()
+        || !pairs.all(|(one, other)| same(one, other))
+}
+
+fn tell(
+    arguments: &Arguments,
+    console: &mut Console<'_>,
+    status: &FleetStatus,
+) -> Result<(), CommandError> {
+    if arguments.json() {
+        let answer = serde_json::to_string(status);
+        let answer = answer.map_err(|error| CommandError::Output(error.to_string()))?;
+        return Ok(writeln!(console.output, "{answer}")?);
+    }
+    writeln!(
+        console.output,
+        "{:<24}  {:<16}  {:<10}  {:>8}  {:>6}  {:>12}",
+        "INSTANCE", "ZONE", "STATE", "VERSION", "BEHIND", "HEARD MS AGO"
+    )?;
+    for each in &status.instances {
+        tell_instance(console, status.newest, each)?;
+    }
+    let holders = status.holders(status.newest);
+    let (all, newest) = (status.instances.len(), status.newest);
+    Ok(writeln!(
+        console.output,
+        "{holders} of {all} daemons hold version {newest}"
+    )?)
+}
+
+fn tell_instance(
+    console: &mut Console<'_>,
+    newest: ConfigVersion,
+    each: &InstanceStatus,
+) -> Result<(), CommandError> {
+    let behind = newest.0.saturating_sub(each.version.0);
+    Ok(writeln!(
+        console.output,
+        "{:<24}  {:<16}  {:<10}  {:>8}  {behind:>6}  {:>12}",
+        each.instance.as_str(),
+        each.availability_zone.as_str(),
+        each.state,
+        each.version.0,
+        each.heard_ms_ago,
+    )?)
+}
--- /dev/null
+++ b/crates/command/src/submit.rs
@@ -0,0 +1,101 @@
+//! Sending one change, whichever subcommand made it.
+
+use std::hash::{BuildHasher, RandomState};
+
+use getopts::Options;
+use medlarspool_config::Lists;
+use medlarspool_platform::{Change, CommitOutcome, Platform, commit};
+use medlarspool_types::{ChangeId, ConfigVersion};
+use serde_json::json;
+
+use crate::{CommandError, Console, arguments::Arguments};
+
+/// The operator's name in the history if none is known.
+const UNKNOWN_OPERATOR: &str = "unknown";
+
+pub(crate) fn add_options(options: &mut Options) {
+    let text = "id of a change that an earlier run may have sent";
+    options.optopt("", "change", text, "ID");
+    options.optopt("", "operator", "who asks, for the history", "NAME");
+}
+
+/// Commits the lists as a change of a base version and tells what became of it.
+pub(crate) fn submit(
+    arguments: &Arguments,
+    console: &mut Console<'_>,
+    platform: &dyn Platform,
+    base: ConfigVersion,
+    lists: Lists,
+) -> Result<CommitOutcome, CommandError> {
+    let resumed: Option<ChangeId> = arguments.parsed("change")?;
+    let asked_at_ms = console.now_ms();
+    let sent_before = resumed.is_some();
+    let change = Change {
+        asked_at_ms,
+        base,
+        id: resumed.map_or_else(|| draw_id(asked_at_ms), Ok)?,
+        lists,
+        operator: operator(arguments),
+        sent_before,
+    };
+    log::info!(change = change.id.as_str(); "sending a change");
+    let outcome = commit(platform, &change)?;
+    tell(arguments, console, &change.id, &outcome)?;
+    Ok(outcome)
+}
+
+fn tell(
+    arguments: &Arguments,
+    console: &mut Console<'_>,
+    change: &ChangeId,
+    outcome: &CommitOutcome,
+) -> Result<(), CommandError> {
+    if arguments.json() {
+        let answer = match outcome {
+            CommitOutcome::Accepted { head, rebased } => json!({
+                "change": change, "digest": head.digest, "outcome": "accepted",
+                "rebased": rebased, "version": head.version,
+            }),
+            CommitOutcome::Unchanged { head } => json!({
+                "digest": head.digest, "outcome": "unchanged", "version": head.version,
+            }),
+        };
+        return Ok(writeln!(console.output, "{answer}")?);
+    }
+    match outcome {
+        CommitOutcome::Accepted { head, rebased } => {
+            let version = head.version;
+            writeln!(
+                console.output,
+                "accepted as version {version} (change {change})"
+            )?;
+            if *rebased {
+                let text = "it also holds other operators' edits; `medlarspool get` fetches them";
+                writeln!(console.output, "{text}")?;
+            }
+        }
+        CommitOutcome::Unchanged { head } => {
+            let version = head.version;
+            writeln!(
+                console.output,
+                "unchanged: version {version} holds this already"
+            )?;
+        }
+    }
+    Ok(())
+}
+
+fn operator(arguments: &Arguments) -> String {
+    let named = arguments.optional("operator");
+    named
+        .or_else(|| std::env::var("USER").ok())
+        .unwrap_or_else(|| UNKNOWN_OPERATOR.into())
+}
+
+/// Draws an id that no other change has: the time and 64 random bits from the system.
+fn draw_id(asked_at_ms: u64) -> Result<ChangeId, CommandError> {
+    let random = RandomState::new().hash_one(std::process::id());
+    let id = format!("{asked_at_ms:x}-{random:016x}");
+    id.parse()
+        .map_err(|_| CommandError::Usage(format!("`{id}` is no change id")))
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -3,35 +3,36 @@
 use std::{collections::HashMap, fmt::Display, hash::Hash};
 
 use crate::{
-    ConfigError, EntryKey, Lists, PlanEntry,
-    documents::{CUSTOMERS_LIST, CustomersDocument, PLANS_LIST, PlansDocument, field_error},
+    ConfigError, EntryKey, ListFile, ListFiles, Lists, PlanEntry,
+    documents::{CustomersDocument, PlansDocument},
     limits,
 };
 
 /// Checks the lists as read, so that errors can name the line.
 pub(crate) fn check_placed(
+    files: &ListFiles<'_>,
     customers: &CustomersDocument,
     plans: &PlansDocument,
 ) -> Result<(), ConfigError> {
-    let mut services = Seen::new(PLANS_LIST, "service");
+    let mut services = Seen::new(&files.plans, "service");
     for placed in &plans.services {
         services.insert(&placed.entry.service, placed.line)?;
     }
-    let mut plan_ids = Seen::new(PLANS_LIST, "plan");
+    let mut plan_ids = Seen::new(&files.plans, "plan");
     for placed in &plans.plans {
         plan_ids.insert(&placed.entry.plan, placed.line)?;
-        let mut uses = Seen::new(PLANS_LIST, "uses");
+        let mut uses = Seen::new(&files.plans, "uses");
         for used in &placed.entry.uses {
-            services.require("uses", used, placed.line, "service")?;
+            services.require(&files.plans, "uses", used, placed.line)?;
             uses.insert(used, placed.line)?;
         }
     }
-    let mut customer_ids = Seen::new(CUSTOMERS_LIST, "customer");
-    let mut credentials = Seen::new(CUSTOMERS_LIST, "credential_sha256");
+    let mut customer_ids = Seen::new(&files.customers, "customer");
+    let mut credentials = Seen::new(&files.customers, "credential_sha256");
     for placed in &customers.customers {
         customer_ids.insert(&placed.entry.customer, placed.line)?;
         credentials.insert(&placed.entry.credential_sha256, placed.line)?;
-        plan_ids.require_in(CUSTOMERS_LIST, "plan", &placed.entry.plan, placed.line)?;
+        plan_ids.require(&files.customers, "plan", &placed.entry.plan, placed.line)?;
     }
     Ok(())
 }
@@ -145,16 +146,16 @@
 /// The values of one field that were met so far, with their lines.
 struct Seen<'list, T> {
     field: &'static str,
+    file: &'list ListFile<'list>,
     lines: HashMap<&'list T, u64>,
-    list: &'static str,
 }
 
 impl<'list, T: Display + Eq + Hash> Seen<'list, T> {
-    fn new(list: &'static str, field: &'static str) -> Self {
+    fn new(file: &'list ListFile<'list>, field: &'static str) -> Self {
         Self {
             field,
+            file,
             lines: HashMap::new(),
-            list,
         }
     }
 
@@ -163,22 +164,24 @@
             return Ok(());
         };
         let reason = format!("`{value}` is listed already in line {first}");
-        Err(field_error(self.list, self.field, line, reason))
+        Err(self.file.field_error(self.field, line, reason))
     }
 
-    fn require(&self, field: &str, value: &T, line: u64, kind: &str) -> Result<(), ConfigError> {
+    /// Refuses a field that names a value which was not met.
+    fn require(
+        &self,
+        file: &ListFile<'_>,
+        field: &str,
+        value: &T,
+        line: u64,
+    ) -> Result<(), ConfigError> {
         if self.lines.contains_key(value) {
             return Ok(());
         }
-        let reason = format!("`{value}` is no listed {kind}");
-        Err(field_error(self.list, field, line, reason))
-    }
-
-    fn require_in(&self, list: &str, field: &str, value: &T, line: u64) -> Result<(), ConfigError> {
-        if self.lines.contains_key(value) {
-            return Ok(());
-        }
-        let reason = format!("`{value}` is no listed {}", self.field);
-        Err(field_error(list, field, line, reason))
+        let reason = format!(
+            "`{value}` is no {} listed in {}",
+            self.field, self.file.name
+        );
+        Err(file.field_error(field, line, reason))
     }
 }
--- a/crates/config/src/config_error.rs
+++ b/crates/config/src/config_error.rs
@@ -18,13 +18,6 @@
         /// The version that both claim.
         version: ConfigVersion,
     },
-    /// customers.yaml has `base_version: {customers}` but plans.yaml has `base_version: {plans}`
-    BaseVersions {
-        /// The version that the customers' list names.
-        customers: ConfigVersion,
-        /// The version that the plans' list names.
-        plans: ConfigVersion,
-    },
     /// `{value}` is not a SHA-256 hash of 64 lower-case hexadecimal digits
     CredentialHash {
         /// The refused text.
@@ -80,7 +73,14 @@
         /// The value found.
         value: u64,
     },
-    /// {list}: line {line}: {reason}
+    /// {key} names {missing}, which is not listed
+    Unknown {
+        /// The entry that names it.
+        key: EntryKey,
+        /// What it names.
+        missing: EntryKey,
+    },
+    /// {list}: line {line}: `{text}`: {reason}
     Yaml {
         /// The line in the list, from 1; 0 where the library gives none.
         line: u64,
@@ -88,13 +88,8 @@
         list: String,
         /// What the YAML library found.
         reason: String,
-    },
-    /// {key} names {missing}, which is not listed
-    Unknown {
-        /// The entry that names it.
-        key: EntryKey,
-        /// What it names.
-        missing: EntryKey,
+        /// The line itself.
+        text: String,
     },
 }
 
--- a/crates/config/src/documents.rs
+++ b/crates/config/src/documents.rs
@@ -6,14 +6,12 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_saphyr::Spanned;
 
-use crate::{ConfigError, CustomerEntry, PlanEntry, ServiceEntry, limits};
+use crate::{ConfigError, CustomerEntry, ListFile, PlanEntry, ServiceEntry, limits};
 
-/// The name by which errors call the customers' list.
-pub(crate) const CUSTOMERS_LIST: &str = "customers.yaml";
-/// The name by which errors call the plans' list.
-pub(crate) const PLANS_LIST: &str = "plans.yaml";
 /// The most parser events of one list: ten for each customer.
 const MAX_EVENTS: usize = 10 * limits::MAX_CUSTOMERS;
+/// The longest piece of a faulty line that an error repeats, in characters.
+const MAX_QUOTED_CHARACTERS: usize = 80;
 
 /// An entry and where in the list its key stands.
 #[derive(Clone, Debug)]
@@ -31,6 +29,7 @@
 /// The plans' list as read.
 pub(crate) struct PlansDocument {
     pub(crate) base_version: Option<ConfigVersion>,
+    pub(crate) base_version_line: u64,
     pub(crate) plans: Vec<Placed<PlanEntry>>,
     pub(crate) services: Vec<Placed<ServiceEntry>>,
 }
@@ -39,7 +38,7 @@
 #[serde(deny_unknown_fields)]
 struct RawCustomers {
     #[serde(default)]
-    base_version: Option<u64>,
+    base_version: Option<Spanned<String>>,
     customers: Vec<RawCustomer>,
 }
 
@@ -55,7 +54,7 @@
 #[serde(deny_unknown_fields)]
 struct RawPlans {
     #[serde(default)]
-    base_version: Option<u64>,
+    base_version: Option<Spanned<String>>,
     plans: Vec<RawPlan>,
     services: Vec<RawService>,
 }
@@ -65,17 +64,18 @@
 struct RawPlan {
     plan: Spanned<String>,
     uses: Vec<Spanned<String>>,
-    weight: Spanned<u32>,
+    weight: Spanned<String>,
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawService {
-    max_request_bytes: Spanned<u64>,
+    max_request_bytes: Spanned<String>,
     service: Spanned<String>,
-    timeout_ms: Spanned<u64>,
+    timeout_ms: Spanned<String>,
 }
 
+/// The customers' list as written.
 #[derive(Serialize)]
 pub(crate) struct CustomersOutput<'lists> {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -83,6 +83,7 @@
     pub(crate) customers: Vec<&'lists CustomerEntry>,
 }
 
+/// The plans' list as written.
 #[derive(Serialize)]
 pub(crate) struct PlansOutput<'lists> {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -91,21 +92,22 @@
     pub(crate) plans: Vec<&'lists PlanEntry>,
 }
 
-pub(crate) fn read_customers(yaml: &str) -> Result<CustomersDocument, ConfigError> {
-    let raw: RawCustomers = read(CUSTOMERS_LIST, yaml)?;
-    let customers = raw.customers.iter().map(customer);
+pub(crate) fn read_customers(file: &ListFile<'_>) -> Result<CustomersDocument, ConfigError> {
+    let raw: RawCustomers = file.read()?;
+    let customers = raw.customers.iter().map(|raw| file.customer(raw));
     Ok(CustomersDocument {
-        base_version: raw.base_version.map(ConfigVersion),
+        base_version: file.base_version(raw.base_version.as_ref())?,
         customers: customers.collect::<Result<_, _>>()?,
     })
 }
 
-pub(crate) fn read_plans(yaml: &str) -> Result<PlansDocument, ConfigError> {
-    let raw: RawPlans = read(PLANS_LIST, yaml)?;
-    let plans = raw.plans.iter().map(plan);
-    let services = raw.services.iter().map(service);
+pub(crate) fn read_plans(file: &ListFile<'_>) -> Result<PlansDocument, ConfigError> {
+    let raw: RawPlans = file.read()?;
+    let plans = raw.plans.iter().map(|raw| file.plan(raw));
+    let services = raw.services.iter().map(|raw| file.service(raw));
     Ok(PlansDocument {
-        base_version: raw.base_version.map(ConfigVersion),
+        base_version: file.base_version(raw.base_version.as_ref())?,
+        base_version_line: raw.base_version.as_ref().map_or(0, line),
         plans: plans.collect::<Result<_, _>>()?,
         services: services.collect::<Result<_, _>>()?,
     })
@@ -115,95 +117,127 @@
     serde_saphyr::to_string(output).unwrap_or_default()
 }
 
-fn read<T: DeserializeOwned>(list: &str, yaml: &str) -> Result<T, ConfigError> {
-    if yaml.len() > limits::MAX_YAML_BYTES {
-        return Err(ConfigError::Limit {
-            field: format!("{list}, bytes"),
-            least: 0,
-            most: limits::MAX_YAML_BYTES as u64,
-            value: yaml.len() as u64,
-        });
+impl ListFile<'_> {
+    pub(crate) fn field_error(&self, field: &str, line: u64, reason: String) -> ConfigError {
+        ConfigError::Field {
+            field: field.into(),
+            line,
+            list: self.name.into(),
+            reason,
+        }
     }
-    let options = serde_saphyr::options! {
-        budget: serde_saphyr::budget! {
-            max_events: MAX_EVENTS,
-            max_nodes: MAX_EVENTS,
-        },
-        with_snippet: false,
-    };
-    serde_saphyr::from_str_with_options(yaml, options).map_err(|error| ConfigError::Yaml {
-        line: error.location().map_or(0, |location| location.line()),
-        list: list.into(),
-        reason: error.to_string(),
-    })
-}
 
-fn customer(raw: &RawCustomer) -> Result<Placed<CustomerEntry>, ConfigError> {
-    Ok(Placed {
-        entry: CustomerEntry {
-            credential_sha256: id(CUSTOMERS_LIST, "credential_sha256", &raw.credential_sha256)?,
-            customer: id(CUSTOMERS_LIST, "customer", &raw.customer)?,
-            plan: id(CUSTOMERS_LIST, "plan", &raw.plan)?,
-        },
-        line: raw.customer.referenced.line(),
-    })
-}
+    fn read<T: DeserializeOwned>(&self) -> Result<T, ConfigError> {
+        if self.yaml.len() > limits::MAX_YAML_BYTES {
+            return Err(ConfigError::Limit {
+                field: format!("{}, bytes", self.name),
+                least: 0,
+                most: limits::MAX_YAML_BYTES as u64,
+                value: self.yaml.len() as u64,
+            });
+        }
+        let options = serde_saphyr::options! {
+            budget: serde_saphyr::budget! {
+                max_events: MAX_EVENTS,
+                max_nodes: MAX_EVENTS,
+            },
+            with_snippet: false,
+        };
+        serde_saphyr::from_str_with_options(self.yaml, options)
+            .map_err(|error| self.yaml_error(&error))
+    }
 
-fn plan(raw: &RawPlan) -> Result<Placed<PlanEntry>, ConfigError> {
-    let uses = raw.uses.iter().map(|used| id(PLANS_LIST, "uses", used));
-    let weight = bounded("weight", &raw.weight, 1, limits::MAX_WEIGHT)?;
-    Ok(Placed {
-        entry: PlanEntry {
-            plan: id(PLANS_LIST, "plan", &raw.plan)?,
-            uses: uses.collect::<Result<_, _>>()?,
-            weight,
-        },
-        line: raw.plan.referenced.line(),
-    })
-}
+    fn yaml_error(&self, error: &serde_saphyr::Error) -> ConfigError {
+        let line = error.location().map_or(0, |location| location.line());
+        let before = usize::try_from(line.saturating_sub(1)).unwrap_or(usize::MAX);
+        let text = self.yaml.lines().nth(before).unwrap_or("").trim();
+        let reason = error.to_string();
+        let reason = reason
+            .rsplit_once(" at line ")
+            .map_or(reason.as_str(), |(r, _)| r);
+        ConfigError::Yaml {
+            line,
+            list: self.name.into(),
+            reason: reason.into(),
+            text: text.chars().take(MAX_QUOTED_CHARACTERS).collect(),
+        }
+    }
 
-fn service(raw: &RawService) -> Result<Placed<ServiceEntry>, ConfigError> {
-    let most = limits::MAX_REQUEST_BYTES;
-    let max_request_bytes = bounded("max_request_bytes", &raw.max_request_bytes, 0, most)?;
-    let timeout_ms = bounded("timeout_ms", &raw.timeout_ms, 1, limits::MAX_TIMEOUT_MS)?;
-    Ok(Placed {
-        entry: ServiceEntry {
-            max_request_bytes,
-            service: id(PLANS_LIST, "service", &raw.service)?,
-            timeout_ms: Duration::from_millis(timeout_ms),
-        },
-        line: raw.service.referenced.line(),
-    })
-}
+    fn customer(&self, raw: &RawCustomer) -> Result<Placed<CustomerEntry>, ConfigError> {
+        Ok(Placed {
+            entry: CustomerEntry {
+                credential_sha256: self.id("credential_sha256", &raw.credential_sha256)?,
+                customer: self.id("customer", &raw.customer)?,
+                plan: self.id("plan", &raw.plan)?,
+            },
+            line: line(&raw.customer),
+        })
+    }
 
-fn id<T>(list: &str, field: &str, text: &Spanned<String>) -> Result<T, ConfigError>
-where
-    T: FromStr,
-    T::Err: Display,
-{
-    text.value.parse().map_err(|error: T::Err| {
-        let reason = error.to_string();
-        field_error(list, field, text.referenced.line(), reason)
-    })
-}
+    fn plan(&self, raw: &RawPlan) -> Result<Placed<PlanEntry>, ConfigError> {
+        let uses = raw.uses.iter().map(|used| self.id("uses", used));
+        Ok(Placed {
+            entry: PlanEntry {
+                plan: self.id("plan", &raw.plan)?,
+                uses: uses.collect::<Result<_, _>>()?,
+                weight: self.number("weight", &raw.weight, 1, limits::MAX_WEIGHT)?,
+            },
+            line: line(&raw.plan),
+        })
+    }
 
-fn bounded<T>(field: &str, value: &Spanned<T>, least: T, most: T) -> Result<T, ConfigError>
-where
-    T: Copy + Display + PartialOrd,
-{
-    if (least..=most).contains(&value.value) {
-        return Ok(value.value);
+    fn service(&self, raw: &RawService) -> Result<Placed<ServiceEntry>, ConfigError> {
+        let most = limits::MAX_REQUEST_BYTES;
+        let bytes = self.number("max_request_bytes", &raw.max_request_bytes, 0, most)?;
+        let most = limits::MAX_TIMEOUT_MS;
+        let timeout_ms = self.number("timeout_ms", &raw.timeout_ms, 1, most)?;
+        Ok(Placed {
+            entry: ServiceEntry {
+                max_request_bytes: bytes,
+                service: self.id("service", &raw.service)?,
+                timeout_ms: Duration::from_millis(timeout_ms),
+            },
+            line: line(&raw.service),
+        })
     }
-    let reason = format!("`{}` is not from {least} to {most}", value.value);
-    let line = value.referenced.line();
-    Err(field_error(PLANS_LIST, field, line, reason))
-}
 
-pub(crate) fn field_error(list: &str, field: &str, line: u64, reason: String) -> ConfigError {
-    ConfigError::Field {
-        field: field.into(),
-        line,
-        list: list.into(),
-        reason,
+    fn base_version(
+        &self,
+        raw: Option<&Spanned<String>>,
+    ) -> Result<Option<ConfigVersion>, ConfigError> {
+        let number = raw.map(|raw| self.number("base_version", raw, 0, u64::MAX));
+        Ok(number.transpose()?.map(ConfigVersion))
     }
+
+    fn id<T>(&self, field: &str, text: &Spanned<String>) -> Result<T, ConfigError>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let refused = |error: T::Err| self.field_error(field, line(text), error.to_string());
+        text.value.parse().map_err(refused)
+    }
+
+    fn number<T>(
+        &self,
+        field: &str,
+        text: &Spanned<String>,
+        least: T,
+        most: T,
+    ) -> Result<T, ConfigError>
+    where
+        T: Copy + Display + FromStr + PartialOrd,
+    {
+        let number = text.value.parse().ok();
+        let number = number.filter(|number| (least..=most).contains(number));
+        number.ok_or_else(|| {
+            let value = &text.value;
+            let reason = format!("`{value}` is not a whole number from {least} to {most}");
+            self.field_error(field, line(text), reason)
+        })
+    }
+}
+
+fn line(value: &Spanned<String>) -> u64 {
+    value.referenced.line()
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,9 +12,12 @@
 mod entry_change;
 mod entry_key;
 pub mod limits;
+mod list_file;
+mod list_files;
 mod lists;
 mod lists_codec;
 mod lists_patch;
+mod parsed_lists;
 mod plan_entry;
 mod route;
 mod route_decision;
@@ -24,7 +27,8 @@
 
 pub use crate::{
     config_error::ConfigError, credential_hash::CredentialHash, customer_entry::CustomerEntry,
-    delta::Delta, entry_change::EntryChange, entry_key::EntryKey, lists::Lists,
-    lists_patch::ListsPatch, plan_entry::PlanEntry, route::Route, route_decision::RouteDecision,
+    delta::Delta, entry_change::EntryChange, entry_key::EntryKey, list_file::ListFile,
+    list_files::ListFiles, lists::Lists, lists_patch::ListsPatch, parsed_lists::ParsedLists,
+    plan_entry::PlanEntry, route::Route, route_decision::RouteDecision,
     service_entry::ServiceEntry, snapshot::Snapshot,
 };
--- a/crates/config/src/lists.rs
+++ b/crates/config/src/lists.rs
@@ -2,7 +2,7 @@
 use prost::Message;
 
 use crate::{
-    ConfigError, CustomerEntry, EntryKey, PlanEntry, ServiceEntry, check,
+    ConfigError, CustomerEntry, EntryKey, ListFile, ListFiles, PlanEntry, ServiceEntry, check,
     documents::{self, CustomersOutput, PlansOutput},
     limits, lists_codec,
     wire::ListsMessage,
@@ -48,36 +48,17 @@
     ///
     /// Names the list, the line, the field and the value of the first fault.
     pub fn parse(customers_yaml: &str, plans_yaml: &str) -> Result<Self, ConfigError> {
-        let customers = documents::read_customers(customers_yaml)?;
-        let plans = documents::read_plans(plans_yaml)?;
-        check::check_placed(&customers, &plans)?;
-        Self::new(
-            customers.customers.into_iter().map(|p| p.entry).collect(),
-            plans.plans.into_iter().map(|p| p.entry).collect(),
-            plans.services.into_iter().map(|p| p.entry).collect(),
-        )
-    }
-
-    /// Returns the version that the operator's copies of the lists started from, if they name it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a list can't be read or if the two name different versions.
-    pub fn base_version(
-        customers_yaml: &str,
-        plans_yaml: &str,
-    ) -> Result<Option<ConfigVersion>, ConfigError> {
-        let customers = documents::read_customers(customers_yaml)?.base_version;
-        let plans = documents::read_plans(plans_yaml)?.base_version;
-        match (customers, plans) {
-            (Some(in_customers), Some(in_plans)) if in_customers != in_plans => {
-                Err(ConfigError::BaseVersions {
-                    customers: in_customers,
-                    plans: in_plans,
-                })
-            }
-            _ => Ok(customers.or(plans)),
-        }
+        let files = ListFiles {
+            customers: ListFile {
+                name: "customers.yaml",
+                yaml: customers_yaml,
+            },
+            plans: ListFile {
+                name: "plans.yaml",
+                yaml: plans_yaml,
+            },
+        };
+        files.parse().map(|parsed| parsed.lists)
     }
 
     /// Returns the customers in the order of their ids.
