Serve the whole path, thin, with separate processes

Cause: the packages stood apart; no request travelled from end to end. Change: the gRPC protocol between daemons, medlarspoold with its entry, gate, control actor and platform thread, the stand-in upstream, a fleet of processes for tests, the quickstart, the README and the first pages of the book. The daemon polls the store for head and upstreams as yet. Found on the way: two stakker instances in one process need its multi-stakker feature, and a channel made outside the runtime panicked a worker and left its caller waiting; workers now outlive a panicking handler. Conclusion: everything else can now grow on a path that runs.

--- /dev/null
+++ b/crates/bench/src/caller_reply.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+/// How long a caller waits.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// What a caller got.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallerReply {
+    /// The whole body.
+    pub body: String,
+    /// The HTTP status.
+    pub status: u16,
+    /// The `medlarspool-verdict` header.
+    pub verdict: String,
+}
+
+impl CallerReply {
+    /// Sends a GET request and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub fn get(url: &str, credential: &str) -> Result<Self, String> {
+        let answer = ureq::get(url)
+            .config()
+            .http_status_as_error(false)
+            .timeout_global(Some(CALLER_TIMEOUT))
+            .build()
+            .header("authorization", format!("Bearer {credential}"))
+            .call();
+        Self::read(answer)
+    }
+
+    /// Sends a POST request and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub fn post(
+        url: &str,
+        credential: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Self, String> {
+        let mut request = ureq::post(url)
+            .config()
+            .http_status_as_error(false)
+            .timeout_global(Some(CALLER_TIMEOUT))
+            .build()
+            .header("authorization", format!("Bearer {credential}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        Self::read(request.send(body))
+    }
+
+    fn read(answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Result<Self, String> {
+        let mut answer = answer.map_err(|error| error.to_string())?;
+        let body = answer
+            .body_mut()
+            .read_to_string()
+            .map_err(|error| error.to_string())?;
+        let verdict = answer
+            .headers()
+            .get("medlarspool-verdict")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        Ok(Self {
+            body,
+            status: answer.status().as_u16(),
+            verdict: verdict.into(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/daemon_spec.rs
@@ -0,0 +1,78 @@
+use std::{fmt::Write, net::SocketAddr};
+
+use medlarspool_daemon::Settings;
+
+use crate::{UpstreamSettings, loopback::free_address};
+
+/// The key of stand-in fleets.
+pub const FLEET_KEY: &str = "stand-in-fleet-key";
+
+/// The operators' token of stand-in fleets.
+pub const OPERATOR_TOKEN: &str = "stand-in-operator-token";
+
+/// The platform's token of stand-in fleets.
+pub const PLATFORM_TOKEN: &str = "stand-in-platform-token";
+
+/// What one daemon of a stand-in fleet is to be.
+#[derive(Clone, Debug)]
+pub struct DaemonSpec {
+    /// Its availability zone.
+    pub availability_zone: String,
+    /// Further lines of its settings.
+    pub extra_settings: String,
+    /// Its instance.
+    pub instance: String,
+    /// Where it reaches the platform.
+    pub platform_address: SocketAddr,
+    /// Its region.
+    pub region: String,
+    /// The upstream beside it.
+    pub upstream: Option<UpstreamSettings>,
+}
+
+impl DaemonSpec {
+    /// Returns checked settings on free addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no address is free or the settings are refused.
+    pub fn settings(&self) -> Result<Settings, String> {
+        Settings::parse(&self.settings_yaml()?)
+    }
+
+    /// Returns a settings file on free addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no address is free.
+    pub fn settings_yaml(&self) -> Result<String, String> {
+        let mut yaml = String::new();
+        let addresses = [
+            "administration_address",
+            "announcements_address",
+            "callers_address",
+            "peers_address",
+        ];
+        for field in addresses {
+            let address = free_address().map_err(|error| error.to_string())?;
+            line(&mut yaml, field, &address.to_string());
+        }
+        line(&mut yaml, "availability_zone", &self.availability_zone);
+        line(&mut yaml, "fleet_key", FLEET_KEY);
+        line(&mut yaml, "instance", &self.instance);
+        line(&mut yaml, "operator_token", OPERATOR_TOKEN);
+        line(
+            &mut yaml,
+            "platform_address",
+            &self.platform_address.to_string(),
+        );
+        line(&mut yaml, "platform_token", PLATFORM_TOKEN);
+        line(&mut yaml, "region", &self.region);
+        yaml.push_str(&self.extra_settings);
+        Ok(yaml)
+    }
+}
+
+fn line(yaml: &mut String, field: &str, value: &str) {
+    writeln!(yaml, "{field}: \"{value}\"").expect("a string can be written to");
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,15 +1,41 @@
-//! Stand-ins for what medlarspool meets, and what the benches share; nothing here is shipped.
+//! Stand-ins for what surrounds the fleet, and what the benches share; not shipped.
 
+mod caller_reply;
+mod child_process;
+mod daemon_spec;
+mod local_daemon;
+mod loopback;
 mod page_digests;
+mod process_daemon;
+mod process_fleet;
+mod program_paths;
 mod repair_cost;
 mod repair_trial;
 mod repair_way;
 mod sample_lists;
 mod stand_in_platform;
 mod stand_in_platform_error;
+mod stand_in_upstream;
+mod upstream_behaviour;
+mod upstream_settings;
 
 pub use crate::{
-    page_digests::PageDigests, repair_cost::RepairCost, repair_trial::RepairTrial,
-    repair_way::RepairWay, sample_lists::SampleLists, stand_in_platform::StandInPlatform,
+    caller_reply::CallerReply,
+    child_process::ChildProcess,
+    daemon_spec::{DaemonSpec, FLEET_KEY, OPERATOR_TOKEN, PLATFORM_TOKEN},
+    local_daemon::{LocalDaemon, wait_until_ready},
+    loopback::free_address,
+    page_digests::PageDigests,
+    process_daemon::ProcessDaemon,
+    process_fleet::ProcessFleet,
+    program_paths::ProgramPaths,
+    repair_cost::RepairCost,
+    repair_trial::RepairTrial,
+    repair_way::RepairWay,
+    sample_lists::SampleLists,
+    stand_in_platform::StandInPlatform,
     stand_in_platform_error::StandInPlatformError,
+    stand_in_upstream::StandInUpstream,
+    upstream_behaviour::UpstreamBehaviour,
+    upstream_settings::UpstreamSettings,
 };
--- /dev/null
+++ b/crates/bench/src/process_fleet.rs
@@ -0,0 +1,178 @@
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    time::Duration,
+};
+
+use medlarspool_config::CredentialHash;
+use tempfile::TempDir;
+
+use crate::{
+    CallerReply, ChildProcess, DaemonSpec, PLATFORM_TOKEN, ProcessDaemon, ProgramPaths,
+    UpstreamBehaviour, UpstreamSettings, free_address,
+};
+
+/// A fleet of real processes on loopback addresses: platform, daemons, upstreams.
+pub struct ProcessFleet {
+    /// The daemons in the order in which they were added.
+    pub daemons: Vec<ProcessDaemon>,
+    folder: TempDir,
+    /// The platform's process.
+    pub platform: ChildProcess,
+    platform_address: SocketAddr,
+    programs: ProgramPaths,
+}
+
+impl ProcessFleet {
+    /// Starts the platform, and no daemon yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn start(programs: ProgramPaths) -> Result<Self, String> {
+        let address = free_address().map_err(|error| error.to_string())?;
+        let listen = address.to_string();
+        let arguments = ["--listen", &listen, "--token", PLATFORM_TOKEN];
+        let (platform, _) = ChildProcess::start_and_read_line(programs.platform, &arguments)?;
+        Ok(Self {
+            daemons: Vec::new(),
+            folder: TempDir::new().map_err(|error| error.to_string())?,
+            platform,
+            platform_address: address,
+            programs,
+        })
+    }
+
+    /// Adds a daemon in a zone with an upstream of a service, and returns its position.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn add(
+        &mut self,
+        availability_zone: &str,
+        service: &str,
+        behaviour: UpstreamBehaviour,
+        service_time: Duration,
+    ) -> Result<usize, String> {
+        let number = self.daemons.len();
+        let name = format!("instance-{number}");
+        let spec = DaemonSpec {
+            availability_zone: availability_zone.into(),
+            extra_settings: "platform_poll_interval_ms: 200\n".into(),
+            instance: name.clone(),
+            platform_address: self.platform_address,
+            region: "region-1".into(),
+            upstream: Some(UpstreamSettings {
+                address: self.platform_address,
+                announcements_address: self.platform_address,
+                behaviour,
+                name,
+                service: service.into(),
+                service_time,
+                slots: 6,
+            }),
+        };
+        let daemon = ProcessDaemon::start(&self.programs, &spec, self.folder.path())?;
+        self.daemons.push(daemon);
+        Ok(number)
+    }
+
+    /// Sends one caller's request to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub fn call(&self, daemon: usize, path: &str, credential: &str) -> Result<CallerReply, String> {
+        let address = self.daemons[daemon].settings.callers_address;
+        CallerReply::get(&format!("http://{address}{path}"), credential)
+    }
+
+    /// Calls until the status is as expected, and returns the reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last reply if the status never was.
+    pub fn call_until(
+        &self,
+        daemon: usize,
+        path: &str,
+        credential: &str,
+        status: u16,
+    ) -> Result<CallerReply, String> {
+        let mut last = Err(String::from("no call was made"));
+        for _ in 0..200 {
+            last = self.call(daemon, path, credential);
+            if last.as_ref().is_ok_and(|reply| reply.status == status) {
+                return last;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Err(format!("status `{status}` never came; last: {last:?}"))
+    }
+
+    /// Runs the operators' command against the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn command(&self, arguments: &[&str]) -> Result<Output, String> {
+        Command::new(self.programs.command)
+            .args(arguments)
+            .args(["--platform", &self.platform_address.to_string()])
+            .args(["--token", PLATFORM_TOKEN])
+            .output()
+            .map_err(|error| error.to_string())
+    }
+
+    /// Puts lists in which one customer's plan uses the given services.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the command said if the lists were not accepted.
+    pub fn put(&self, base: u64, credential: &str, uses: &[&str]) -> Result<(), String> {
+        let customers = self.write("customers.yaml", &customers_yaml(credential))?;
+        let plans = self.write("plans.yaml", &plans_yaml(uses))?;
+        let base = base.to_string();
+        let mut arguments = vec!["put", "--customers", &customers, "--plans", &plans];
+        if base != "0" {
+            arguments.extend(["--base", &base]);
+        }
+        let output = self.command(&arguments)?;
+        if output.status.success() {
+            return Ok(());
+        }
+        Err(String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
+    /// Returns the programs that the fleet is made of.
+    #[must_use]
+    pub fn programs(&self) -> ProgramPaths {
+        self.programs
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<String, String> {
+        let path: PathBuf = self.folder.path().join(name);
+        std::fs::write(&path, text).map_err(|error| error.to_string())?;
+        Ok(path.display().to_string())
+    }
+}
+
+fn customers_yaml(credential: &str) -> String {
+    let hash = CredentialHash::of(credential);
+    format!(
+        "customers:\n  - customer: karoo-school\n    plan: observer\n    credential_sha256: {hash}\n"
+    )
+}
+
+fn plans_yaml(uses: &[&str]) -> String {
+    let services = ["alerts", "sightings", "sky-map"].map(|service| {
+        format!("  - service: {service}\n    timeout_ms: 5000\n    max_request_bytes: 65536\n")
+    });
+    format!(
+        "services:\n{}plans:\n  - plan: observer\n    uses: [{}]\n    weight: 1\n",
+        services.concat(),
+        uses.join(", ")
+    )
+}
--- /dev/null
+++ b/crates/bench/src/stand_in_upstream.rs
@@ -0,0 +1,199 @@
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use tiny_http::{Request, Response, Server};
+
+use crate::{UpstreamBehaviour, UpstreamSettings};
+
+/// How often an upstream renews its announcement.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How often a thread looks whether the upstream is stopping.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An upstream that counts how often it ran each request.
+///
+/// A request is known by its `x-request-id` header; `/runs/ID` answers how often it ran.
+pub struct StandInUpstream {
+    state: Arc<State>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+struct State {
+    draining: AtomicBool,
+    in_flight: AtomicU32,
+    runs: Mutex<HashMap<String, u32>>,
+    served: AtomicU32,
+    settings: UpstreamSettings,
+    stopping: AtomicBool,
+}
+
+impl StandInUpstream {
+    /// Starts to serve and to announce.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address can't be listened on or a thread can't be started.
+    pub fn start(settings: UpstreamSettings) -> Result<Self, String> {
+        let server = Server::http(settings.address).map_err(|error| error.to_string())?;
+        let workers = settings.slots * 2;
+        let server = Arc::new(server);
+        let state = Arc::new(State::new(settings));
+        let mut threads = Vec::new();
+        for _ in 0..workers {
+            let (server, state) = (Arc::clone(&server), Arc::clone(&state));
+            threads.push(spawn(move || state.serve(&server))?);
+        }
+        let announcer = Arc::clone(&state);
+        threads.push(spawn(move || announcer.keep_announced())?);
+        Ok(Self { state, threads })
+    }
+
+    /// Returns how often each request ran.
+    #[must_use]
+    pub fn runs(&self) -> HashMap<String, u32> {
+        self.state.lock_runs().clone()
+    }
+
+    /// Announces that the upstream is leaving, finishes what it holds and stops.
+    pub fn leave(self) {
+        self.state.draining.store(true, Ordering::Release);
+        self.state.announce();
+        while self.state.in_flight.load(Ordering::Acquire) > 0 {
+            std::thread::sleep(STOP_CHECK_INTERVAL);
+        }
+        self.stop();
+    }
+
+    /// Stops at once, as far as threads can be stopped.
+    pub fn stop(self) {
+        self.state.stopping.store(true, Ordering::Release);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("a thread of the upstream panicked");
+            }
+        }
+    }
+}
+
+impl State {
+    fn new(settings: UpstreamSettings) -> Self {
+        Self {
+            draining: AtomicBool::new(false),
+            in_flight: AtomicU32::new(0),
+            runs: Mutex::default(),
+            served: AtomicU32::new(0),
+            settings,
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    fn announce(&self) {
+        let settings = &self.settings;
+        let announcement = serde_json::json!({
+            "address": settings.address,
+            "cold": matches!(settings.behaviour, UpstreamBehaviour::Cold(until) if self.served.load(Ordering::Relaxed) < until),
+            "draining": self.draining.load(Ordering::Acquire),
+            "service": settings.service,
+            "slots": settings.slots,
+        });
+        let url = format!("http://{}/v1/upstream", settings.announcements_address);
+        let sent = ureq::put(&url)
+            .config()
+            .timeout_global(Some(Duration::from_secs(1)))
+            .build()
+            .send(announcement.to_string());
+        if let Err(error) = sent {
+            log::debug!(error = error.to_string().as_str(); "the announcement was not taken");
+        }
+    }
+
+    fn keep_announced(&self) {
+        while !self.stopping.load(Ordering::Acquire) {
+            self.announce();
+            let renewal = Instant::now() + RENEWAL_INTERVAL;
+            while Instant::now() < renewal && !self.stopping.load(Ordering::Acquire) {
+                std::thread::sleep(STOP_CHECK_INTERVAL);
+            }
+        }
+    }
+
+    fn lock_runs(&self) -> std::sync::MutexGuard<'_, HashMap<String, u32>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, server: &Server) {
+        while !self.stopping.load(Ordering::Acquire) {
+            if let Ok(Some(request)) = server.recv_timeout(STOP_CHECK_INTERVAL) {
+                self.in_flight.fetch_add(1, Ordering::AcqRel);
+                self.answer(request);
+                self.in_flight.fetch_sub(1, Ordering::AcqRel);
+            }
+        }
+    }
+
+    fn answer(&self, mut request: Request) {
+        if let Some(id) = request.url().strip_prefix("/runs/") {
+            let runs = self.lock_runs().get(id).copied().unwrap_or(0);
+            respond(request, 200, &runs.to_string());
+            return;
+        }
+        self.count_run(&request);
+        let crashes = self.settings.behaviour == UpstreamBehaviour::Crashing;
+        if crashes && request.url().starts_with("/crash") {
+            std::process::abort();
+        }
+        let served = self.served.fetch_add(1, Ordering::Relaxed);
+        self.rest(served);
+        let mut body = String::new();
+        if request.as_reader().read_to_string(&mut body).is_err() {
+            respond(request, 400, "the body is no text");
+            return;
+        }
+        let text = format!("{} {} {body}\n", self.settings.name, request.url());
+        respond(request, 200, &text);
+    }
+
+    fn count_run(&self, request: &Request) {
+        let id = request
+            .headers()
+            .iter()
+            .find(|header| header.field.equiv("x-request-id"));
+        if let Some(id) = id {
+            *self.lock_runs().entry(id.value.to_string()).or_default() += 1;
+        }
+    }
+
+    fn rest(&self, served: u32) {
+        let behaviour = self.settings.behaviour;
+        let until = Instant::now() + behaviour.service_time(self.settings.service_time, served);
+        while !self.stopping.load(Ordering::Acquire) {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            std::thread::sleep(left.min(STOP_CHECK_INTERVAL));
+        }
+    }
+}
+
+fn respond(request: Request, status: u16, text: &str) {
+    let response = Response::from_string(text).with_status_code(status);
+    if let Err(error) = request.respond(response) {
+        log::debug!(error = error.to_string().as_str(); "the answer was not taken");
+    }
+}
+
+fn spawn(body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, String> {
+    std::thread::Builder::new()
+        .name("stand-in-upstream".into())
+        .spawn(body)
+        .map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/administration.rs
@@ -0,0 +1,63 @@
+use std::sync::Arc;
+
+use serde_json::json;
+use tiny_http::Request;
+
+use crate::{http_reply::HttpReply, shared::Shared};
+
+/// Answers operators and scrapers on an address apart from the callers'.
+pub(crate) struct Administration {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Administration {
+    /// Answers one request; all but the two health paths need the operators' token.
+    pub(crate) fn handle(&self, request: Request) {
+        let reply = match request.url() {
+            "/healthz" => HttpReply::text(200, "alive\n"),
+            "/readyz" => self.ready(),
+            _ if !self.authorised(&request) => {
+                HttpReply::text(401, "the operators' token is missing or wrong\n")
+            }
+            "/dump" => HttpReply::json(200, &self.dump()),
+            "/metrics" => HttpReply {
+                body: self.shared.metrics.text(),
+                headers: Vec::new(),
+                status: 200,
+            },
+            _ => HttpReply::text(404, "no such page\n"),
+        };
+        reply.send(request);
+    }
+
+    fn authorised(&self, request: &Request) -> bool {
+        let expected = format!("Bearer {}", self.shared.settings.operator_token);
+        request
+            .headers()
+            .iter()
+            .any(|header| header.field.equiv("authorization") && header.value.as_str() == expected)
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let shared = &self.shared;
+        json!({
+            "availability_zone": shared.settings.availability_zone,
+            "config": shared.held(),
+            "directory": **shared.directory.load(),
+            "draining": shared.is_draining(),
+            "incarnation": shared.incarnation,
+            "instance": shared.settings.instance,
+            "region": shared.settings.region,
+        })
+    }
+
+    fn ready(&self) -> HttpReply {
+        if self.shared.is_draining() {
+            return HttpReply::text(503, "draining\n");
+        }
+        if self.shared.snapshot.load().is_none() {
+            return HttpReply::text(503, "no configuration is in use yet\n");
+        }
+        HttpReply::text(200, "ready\n")
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/announcement.rs
@@ -0,0 +1,22 @@
+use std::net::SocketAddr;
+
+use medlarspool_types::ServiceName;
+use serde::{Deserialize, Serialize};
+
+/// What an upstream says of itself to the daemon beside it, and renews.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Where the daemon reaches the upstream.
+    pub address: SocketAddr,
+    /// Whether the upstream is still warming up.
+    #[serde(default)]
+    pub cold: bool,
+    /// Whether the upstream is leaving and takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+    /// The service that the upstream offers.
+    pub service: ServiceName,
+    /// How many requests the upstream runs at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/daemon/src/announcements.rs
@@ -0,0 +1,41 @@
+use std::sync::Arc;
+
+use tiny_http::{Method, Request};
+
+use crate::{Announcement, http_reply::HttpReply, shared::Shared};
+
+/// The longest announcement in bytes.
+const MAX_ANNOUNCEMENT_BYTES: u64 = 16 * 1024;
+
+/// Takes the announcements of the upstream beside this daemon.
+pub(crate) struct Announcements {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Announcements {
+    /// Answers one announcement.
+    pub(crate) fn handle(&self, mut request: Request) {
+        let reply = if request.method() == &Method::Put && request.url() == "/v1/upstream" {
+            self.announce(&mut request)
+        } else {
+            HttpReply::text(404, "announce with PUT /v1/upstream\n")
+        };
+        reply.send(request);
+    }
+
+    fn announce(&self, request: &mut Request) -> HttpReply {
+        let reader = std::io::Read::take(request.as_reader(), MAX_ANNOUNCEMENT_BYTES);
+        match serde_json::from_reader::<_, Announcement>(reader) {
+            Err(error) => HttpReply::text(400, &format!("announcement refused: {error}\n")),
+            Ok(announcement) if announcement.slots == 0 => HttpReply::text(
+                400,
+                "announcement refused: field slots: `0` serves nobody\n",
+            ),
+            Ok(announcement) => {
+                let now = self.shared.clock.now();
+                self.shared.local_upstream.announce(announcement, now);
+                HttpReply::text(204, "")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon_error.rs
@@ -0,0 +1,48 @@
+use displaydoc::Display;
+
+/// Why the daemon can't start.
+#[derive(Debug, Display)]
+pub enum DaemonError {
+    /// {0}
+    Arguments(String),
+    /// can't listen on `{address}` for {purpose}: {cause}
+    Listen {
+        /// The address from the settings.
+        address: String,
+        /// What the operating system said.
+        cause: String,
+        /// What the address is for.
+        purpose: &'static str,
+    },
+    /// can't install the handler of planned stops: {0}
+    Signal(String),
+    /// can't read settings file `{path}`: {cause}
+    SettingsFile {
+        /// What the operating system said.
+        cause: String,
+        /// The file.
+        path: String,
+    },
+    /// settings file `{path}`: {cause}
+    SettingsInvalid {
+        /// The line, field and value that were refused.
+        cause: String,
+        /// The file.
+        path: String,
+    },
+    /// can't start a thread: {0}
+    Thread(String),
+}
+
+impl DaemonError {
+    /// Returns the process's exit code: 2 for what the operator must correct, 1 for the rest.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Arguments(_) | Self::SettingsFile { .. } | Self::SettingsInvalid { .. } => 2,
+            Self::Listen { .. } | Self::Signal(_) | Self::Thread(_) => 1,
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,34 @@
-//! Filled in by the next commits.
+//! `medlarspoold`: the one small process beside each upstream.
+//!
+//! It takes callers' requests as an entry, guards its own upstream as a gate, and keeps the
+//! configuration and the membership in actors on one thread. See `docs/design/daemon.md`.
+
+mod administration;
+mod announcement;
+mod announcements;
+mod arguments;
+mod bounded_server;
+mod control;
+mod control_message;
+mod daemon;
+mod daemon_error;
+mod directory;
+mod entry;
+mod gate;
+mod http_reply;
+mod local_upstream;
+mod metrics;
+mod peer_edge;
+mod peer_pool;
+mod platform_job;
+mod platform_worker;
+mod run;
+mod settings;
+mod shared;
+mod upstream_client;
+mod upstream_record;
+
+pub use crate::{
+    announcement::Announcement, daemon::Daemon, daemon_error::DaemonError, run::run,
+    settings::Settings,
+};
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,120 @@
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use medlarspool_proto::FleetKey;
+use medlarspool_types::{AvailabilityZone, InstanceId, Region};
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::DaemonError;
+
+/// Everything that a daemon is told from outside, read once from a YAML file.
+///
+/// `docs/settings.md` explains each field.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where operators and scrapers reach this daemon.
+    pub administration_address: SocketAddr,
+    /// Where the upstream beside this daemon announces itself.
+    pub announcements_address: SocketAddr,
+    /// The availability zone that the instance stands in.
+    pub availability_zone: AvailabilityZone,
+    /// Where callers reach this daemon.
+    pub callers_address: SocketAddr,
+    /// How long a planned stop may take to finish what is in flight, in milliseconds.
+    #[serde(rename = "drain_timeout_ms", default = "default_drain_timeout")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain_timeout: Duration,
+    /// The key that all daemons of the fleet share.
+    pub fleet_key: String,
+    /// The name of the instance.
+    pub instance: InstanceId,
+    /// The largest body of a caller's request, in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: u64,
+    /// The token that operators show.
+    pub operator_token: String,
+    /// Where other daemons reach this one, over TCP and UDP.
+    pub peers_address: SocketAddr,
+    /// Where the platform's service is reached.
+    pub platform_address: SocketAddr,
+    /// How often the head is read from the store, in milliseconds.
+    #[serde(
+        rename = "platform_poll_interval_ms",
+        default = "default_poll_interval"
+    )]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub platform_poll_interval: Duration,
+    /// How long the platform may take to answer, in milliseconds.
+    #[serde(rename = "platform_timeout_ms", default = "default_platform_timeout")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub platform_timeout: Duration,
+    /// The token that the platform asks for.
+    pub platform_token: String,
+    /// The region that the availability zone belongs to.
+    pub region: Region,
+    /// How many callers' requests are worked on at once.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: usize,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, and where it can the line, the field and the value.
+    pub fn load(path: &Path) -> Result<Self, DaemonError> {
+        let text = fs::read_to_string(path).map_err(|error| DaemonError::SettingsFile {
+            cause: error.to_string(),
+            path: path.display().to_string(),
+        })?;
+        Self::parse(&text).map_err(|cause| DaemonError::SettingsInvalid {
+            cause,
+            path: path.display().to_string(),
+        })
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was refused and where it stands.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = serde_saphyr::from_str(text).map_err(|error| error.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        FleetKey::derive(&self.fleet_key).map_err(|error| format!("field fleet_key: {error}"))?;
+        if self.operator_token.is_empty() {
+            return Err("field operator_token: `` is empty".into());
+        }
+        if self.worker_threads == 0 {
+            return Err("field worker_threads: `0` leaves no worker for callers".into());
+        }
+        Ok(())
+    }
+}
+
+fn default_drain_timeout() -> Duration {
+    Duration::from_secs(30)
+}
+
+fn default_max_body_bytes() -> u64 {
+    1024 * 1024
+}
+
+fn default_platform_timeout() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_poll_interval() -> Duration {
+    Duration::from_secs(1)
+}
+
+fn default_worker_threads() -> usize {
+    64
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,38 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use medlarspool_config::Snapshot;
+use medlarspool_proto::FleetKey;
+use medlarspool_types::{Clock, ConfigHead, Incarnation};
+
+use crate::{Settings, directory::Directory, local_upstream::LocalUpstream, metrics::Metrics};
+
+/// What the daemon's edges and its control thread share.
+pub(crate) struct Shared {
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) directory: ArcSwap<Directory>,
+    pub(crate) draining: AtomicBool,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) key: FleetKey,
+    pub(crate) local_upstream: LocalUpstream,
+    pub(crate) metrics: Metrics,
+    pub(crate) settings: Settings,
+    pub(crate) snapshot: ArcSwapOption<Snapshot>,
+}
+
+impl Shared {
+    /// Returns the head of the configuration in use, or the default one before the first.
+    pub(crate) fn held(&self) -> ConfigHead {
+        self.snapshot
+            .load()
+            .as_ref()
+            .map_or_else(ConfigHead::default, |snapshot| snapshot.head())
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/crates/proto/src/fleet_key.rs
@@ -0,0 +1,78 @@
+use crate::ProtoError;
+
+/// The shortest key text in characters.
+const MIN_KEY_CHARACTERS: usize = 16;
+
+/// The bytes of the tag that seals a datagram.
+const TAG_BYTES: usize = 16;
+
+/// The key that all daemons of a fleet share; peers without it are refused.
+#[derive(Clone)]
+pub struct FleetKey {
+    datagram_key: [u8; 32],
+    token: String,
+}
+
+impl FleetKey {
+    /// Derives the keys for datagrams and for gRPC from the text in the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ProtoError::FleetKey`] if the text is shorter than 16 characters.
+    pub fn derive(text: &str) -> Result<Self, ProtoError> {
+        if text.chars().count() < MIN_KEY_CHARACTERS {
+            return Err(ProtoError::FleetKey("*".repeat(text.chars().count())));
+        }
+        let token = blake3::derive_key("medlarspool gRPC 2026", text.as_bytes());
+        Ok(Self {
+            datagram_key: blake3::derive_key("medlarspool datagram 2026", text.as_bytes()),
+            token: blake3::Hash::from_bytes(token).to_hex().to_string(),
+        })
+    }
+
+    /// Returns the sealed message that a datagram holds, or nothing if its tag is not the key's.
+    #[must_use]
+    pub fn open<'datagram>(&self, datagram: &'datagram [u8]) -> Option<&'datagram [u8]> {
+        let (tag, message) = datagram.split_at_checked(TAG_BYTES)?;
+        let expected = self.tag(message);
+        constant_time_equal(&expected, tag).then_some(message)
+    }
+
+    /// Returns the message behind its tag, ready to be sent.
+    #[must_use]
+    pub fn seal(&self, message: &[u8]) -> Vec<u8> {
+        let mut datagram = Vec::with_capacity(TAG_BYTES + message.len());
+        datagram.extend_from_slice(&self.tag(message));
+        datagram.extend_from_slice(message);
+        datagram
+    }
+
+    /// Returns the token that a daemon shows with each gRPC request.
+    #[must_use]
+    pub fn token(&self) -> &str {
+        &self.token
+    }
+
+    /// Returns whether a shown token is the fleet's, in a time that tells nothing of it.
+    #[must_use]
+    pub fn accepts(&self, token: &[u8]) -> bool {
+        constant_time_equal(self.token.as_bytes(), token)
+    }
+
+    fn tag(&self, message: &[u8]) -> [u8; TAG_BYTES] {
+        let hash = blake3::keyed_hash(&self.datagram_key, message);
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+        tag
+    }
+}
+
+impl std::fmt::Debug for FleetKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("FleetKey(hidden)")
+    }
+}
+
+fn constant_time_equal(left: &[u8], right: &[u8]) -> bool {
+    blake3::hash(left) == blake3::hash(right)
+}
--- /dev/null
+++ b/crates/proto/src/peer_client.rs
@@ -0,0 +1,100 @@
+use std::{net::SocketAddr, time::Duration};
+
+use prost::Message;
+use tonic::{
+    Request, Status,
+    client::Grpc,
+    codegen::http::uri::PathAndQuery,
+    metadata::{Ascii, MetadataValue},
+    transport::{Channel, Endpoint},
+};
+use tonic_prost::ProstCodec;
+
+use crate::{
+    CallReply, CallRequest, FateRequest, FleetKey, MAX_MESSAGE_BYTES, ProtoError,
+    peer_server::TOKEN_HEADER,
+};
+
+/// How often an idle connection is asked for a sign of life.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How long the sign of life may take before the connection counts as silent.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One connection to a peer, made when it is first used and made again when it is found silent.
+#[derive(Clone)]
+pub struct PeerClient {
+    channel: Channel,
+    token: MetadataValue<Ascii>,
+}
+
+impl PeerClient {
+    /// Returns a client for the peer at an address; must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ProtoError::PeerAddress`] if the address can't stand in a URI.
+    pub fn new(
+        address: SocketAddr,
+        key: &FleetKey,
+        connect_timeout: Duration,
+    ) -> Result<Self, ProtoError> {
+        let refused = || ProtoError::PeerAddress(address.to_string());
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(|_| refused())?
+            .connect_timeout(connect_timeout)
+            .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .tcp_nodelay(true);
+        let token = MetadataValue::try_from(key.token()).map_err(|_| refused())?;
+        Ok(Self {
+            channel: endpoint.connect_lazy(),
+            token,
+        })
+    }
+
+    /// Hands one try to the peer's gate.
+    ///
+    /// # Errors
+    ///
+    /// Returns tonic's status if no reply came; the request may then have run.
+    pub async fn call(&self, request: CallRequest, timeout: Duration) -> Result<CallReply, Status> {
+        self.unary("/medlarspool.Peer/Call", request, timeout).await
+    }
+
+    /// Asks the peer's gate what became of one try.
+    ///
+    /// # Errors
+    ///
+    /// Returns tonic's status if no reply came.
+    pub async fn fate(&self, request: FateRequest, timeout: Duration) -> Result<CallReply, Status> {
+        self.unary("/medlarspool.Peer/Fate", request, timeout).await
+    }
+
+    async fn unary<In, Out>(
+        &self,
+        path: &'static str,
+        message: In,
+        timeout: Duration,
+    ) -> Result<Out, Status>
+    where
+        In: Message + 'static,
+        Out: Default + Message + 'static,
+    {
+        let mut grpc = Grpc::new(self.channel.clone())
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        grpc.ready()
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        let mut request = Request::new(message);
+        request.set_timeout(timeout);
+        request
+            .metadata_mut()
+            .insert(TOKEN_HEADER, self.token.clone());
+        let path = PathAndQuery::from_static(path);
+        let codec = ProstCodec::<In, Out>::default();
+        let response = grpc.unary(request, path, codec).await?;
+        Ok(response.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/proto/src/wire_head.rs
@@ -0,0 +1,51 @@
+use medlarspool_types::{ConfigDigest, ConfigHead, ConfigVersion};
+use prost::Message;
+
+/// A [`ConfigHead`] on the wire: a version and its digest in two halves.
+#[derive(Clone, Copy, Eq, Message, PartialEq)]
+pub struct WireHead {
+    /// The version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The upper 64 bits of the digest.
+    #[prost(fixed64, tag = "2")]
+    pub digest_high: u64,
+    /// The lower 64 bits of the digest.
+    #[prost(fixed64, tag = "3")]
+    pub digest_low: u64,
+}
+
+impl From<ConfigHead> for WireHead {
+    fn from(head: ConfigHead) -> Self {
+        let [digest_high, digest_low] = halves(head.digest.0);
+        Self {
+            version: head.version.0,
+            digest_high,
+            digest_low,
+        }
+    }
+}
+
+impl From<WireHead> for ConfigHead {
+    fn from(head: WireHead) -> Self {
+        Self {
+            version: ConfigVersion(head.version),
+            digest: ConfigDigest(joined(head.digest_high, head.digest_low)),
+        }
+    }
+}
+
+/// Splits 128 bits into an upper and a lower half.
+pub(crate) fn halves(whole: u128) -> [u64; 2] {
+    let bytes = whole.to_be_bytes();
+    let mut upper = [0; 8];
+    let mut lower = [0; 8];
+    upper.copy_from_slice(&bytes[..8]);
+    lower.copy_from_slice(&bytes[8..]);
+    [u64::from_be_bytes(upper), u64::from_be_bytes(lower)]
+}
+
+/// Joins an upper and a lower half to 128 bits.
+pub(crate) fn joined(upper: u64, lower: u64) -> u128 {
+    (u128::from(upper) << 64) | u128::from(lower)
+}
