Give the daemon its datagram socket

Cause: membership and spread both need datagrams on the control thread. Change: one UDP socket whose receiving thread passes sealed datagrams to the control thread, with counters of datagrams and bytes, framing included. Conclusion: both can be wired in without a socket of their own.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         mpsc::{Receiver, RecvTimeoutError, Sender},
@@ -11,8 +12,9 @@
 use stakker::{CX, Stakker, actor, call, ret_nop};
 
 use crate::{
-    DaemonError, control_message::ControlMessage, directory::Directory, platform_job::PlatformJob,
-    shared::Shared, upstream_record::UpstreamRecord,
+    DaemonError, control_message::ControlMessage, datagram_socket::DatagramSocket,
+    directory::Directory, platform_job::PlatformJob, shared::Shared,
+    upstream_record::UpstreamRecord,
 };
 
 /// The longest that the control thread waits for a message.
@@ -22,18 +24,21 @@
 pub(crate) struct Control {
     platform: Sender<PlatformJob>,
     shared: Arc<Shared>,
+    #[expect(dead_code, reason = "nothing is sent until the membership is wired in")]
+    socket: Arc<DatagramSocket>,
 }
 
 impl Control {
     /// Runs the actor on a thread of its own until it is told to stop.
     pub(crate) fn start(
         shared: Arc<Shared>,
+        socket: Arc<DatagramSocket>,
         platform: Sender<PlatformJob>,
         messages: Receiver<ControlMessage>,
     ) -> Result<JoinHandle<()>, DaemonError> {
         std::thread::Builder::new()
             .name("control".into())
-            .spawn(move || serve(&shared, platform, &messages))
+            .spawn(move || serve(&shared, socket, platform, &messages))
             .map_err(|error| DaemonError::Thread(error.to_string()))
     }
 
@@ -41,14 +46,24 @@
         clippy::unnecessary_wraps,
         reason = "an actor's constructor returns an option"
     )]
-    fn init(cx: CX![], shared: Arc<Shared>, platform: Sender<PlatformJob>) -> Option<Self> {
+    fn init(
+        cx: CX![],
+        shared: Arc<Shared>,
+        socket: Arc<DatagramSocket>,
+        platform: Sender<PlatformJob>,
+    ) -> Option<Self> {
         call!([cx], poll());
-        Some(Self { platform, shared })
+        Some(Self {
+            platform,
+            shared,
+            socket,
+        })
     }
 
     fn handle(&mut self, cx: CX![], message: ControlMessage) {
         match message {
             ControlMessage::Configuration(snapshot) => self.put_in_use(snapshot),
+            ControlMessage::Datagram { address, sealed } => self.receive(address, &sealed),
             ControlMessage::PollDone => {
                 let interval = self.shared.settings.platform_poll_interval;
                 stakker::after!(interval, [cx], poll());
@@ -89,6 +104,13 @@
         }
     }
 
+    fn receive(&mut self, address: SocketAddr, sealed: &[u8]) {
+        if self.shared.key.open(sealed).is_none() {
+            self.shared.metrics.datagrams_refused.inc();
+            log::debug!(address = address.to_string().as_str(); "a datagram's seal is not the fleet's");
+        }
+    }
+
     fn put_in_use(&mut self, snapshot: Arc<Snapshot>) {
         let head = snapshot.head();
         if head.version <= self.shared.held().version {
@@ -105,11 +127,16 @@
     }
 }
 
-fn serve(shared: &Arc<Shared>, platform: Sender<PlatformJob>, messages: &Receiver<ControlMessage>) {
+fn serve(
+    shared: &Arc<Shared>,
+    socket: Arc<DatagramSocket>,
+    platform: Sender<PlatformJob>,
+    messages: &Receiver<ControlMessage>,
+) {
     let mut stakker = Stakker::new(shared.clock.now());
     let control = actor!(
         stakker,
-        Control::init(Arc::clone(shared), platform),
+        Control::init(Arc::clone(shared), socket, platform),
         ret_nop!()
     );
     stakker.run(shared.clock.now(), false);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -22,9 +22,9 @@
 use crate::{
     DaemonError, Settings, administration::Administration, announcements::Announcements,
     bounded_server::BoundedServer, control::Control, control_message::ControlMessage,
-    directory::Directory, entry::Entry, gate::Gate, local_upstream::LocalUpstream,
-    metrics::Metrics, peer_edge::PeerEdge, peer_pool::PeerPool, platform_worker::PlatformWorker,
-    shared::Shared,
+    datagram_socket::DatagramSocket, directory::Directory, entry::Entry, gate::Gate,
+    local_upstream::LocalUpstream, metrics::Metrics, peer_edge::PeerEdge, peer_pool::PeerPool,
+    platform_worker::PlatformWorker, shared::Shared,
 };
 
 /// Workers of the administration and the announcement servers.
@@ -58,9 +58,11 @@
         let gate = Arc::new(Gate::new(Arc::clone(&shared)));
         let (control, control_messages) = mpsc::channel();
         let (jobs, job_queue) = mpsc::channel();
+        let socket = Arc::new(DatagramSocket::bind(Arc::clone(&shared))?);
         let threads = vec![
+            Arc::clone(&socket).receive(control.clone())?,
             PlatformWorker::start(Arc::clone(&shared), platform, control.clone(), job_queue)?,
-            Control::start(Arc::clone(&shared), jobs, control_messages)?,
+            Control::start(Arc::clone(&shared), socket, jobs, control_messages)?,
         ];
         let (peers_stop, stopped) = oneshot::channel();
         serve_peers(&runtime, &shared, &gate, stopped)?;
@@ -101,6 +103,7 @@
         }
         self.runtime
             .shutdown_timeout(self.shared.settings.drain_timeout);
+        self.shared.stopped.store(true, Ordering::Release);
         if self.control.send(ControlMessage::Stop).is_err() {
             log::warn!("the control thread had stopped");
         }
@@ -164,6 +167,7 @@
         metrics,
         settings,
         snapshot: ArcSwapOption::empty(),
+        stopped: AtomicBool::new(false),
     })
 }
 
--- /dev/null
+++ b/crates/daemon/src/datagram_socket.rs
@@ -0,0 +1,86 @@
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, mpsc::Sender},
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use crate::{DaemonError, control_message::ControlMessage, shared::Shared};
+
+/// The bytes that IPv4 and UDP put before each datagram, which count as control bytes, too.
+const FRAMING_BYTES: u64 = 28;
+
+/// The largest datagram that is read, in bytes; longer ones are cut and fail their seal.
+const MAX_DATAGRAM_BYTES: usize = 2048;
+
+/// How often the receiving thread looks whether the daemon is stopping.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The UDP socket towards peers; it counts what the kernel takes and gives, framing included.
+pub(crate) struct DatagramSocket {
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+}
+
+impl DatagramSocket {
+    pub(crate) fn bind(shared: Arc<Shared>) -> Result<Self, DaemonError> {
+        let address = shared.settings.peers_address;
+        let failed = |error: io::Error| DaemonError::Listen {
+            address: address.to_string(),
+            cause: error.to_string(),
+            purpose: "peers' datagrams",
+        };
+        let socket = UdpSocket::bind(address).map_err(failed)?;
+        socket
+            .set_read_timeout(Some(STOP_CHECK_INTERVAL))
+            .map_err(failed)?;
+        Ok(Self { shared, socket })
+    }
+
+    /// Passes what arrives to the control thread until that is gone.
+    pub(crate) fn receive(
+        self: Arc<Self>,
+        control: Sender<ControlMessage>,
+    ) -> Result<JoinHandle<()>, DaemonError> {
+        std::thread::Builder::new()
+            .name("datagrams".into())
+            .spawn(move || self.pass_on(&control))
+            .map_err(|error| DaemonError::Thread(error.to_string()))
+    }
+
+    /// Sends a sealed datagram; one that the kernel doesn't take counts as lost on the way.
+    #[expect(dead_code, reason = "nothing is sent until the membership is wired in")]
+    pub(crate) fn send(&self, address: SocketAddr, sealed: &[u8]) {
+        if self.socket.send_to(sealed, address).is_err() {
+            self.shared.metrics.datagrams_unsent.inc();
+            return;
+        }
+        self.shared.metrics.datagrams_sent.inc();
+        self.shared
+            .metrics
+            .control_bytes_sent
+            .inc_by(sealed.len() as u64 + FRAMING_BYTES);
+    }
+
+    fn pass_on(&self, control: &Sender<ControlMessage>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        while !self.shared.is_stopped() {
+            let Ok((length, address)) = self.socket.recv_from(&mut buffer) else {
+                continue;
+            };
+            self.shared.metrics.datagrams_received.inc();
+            self.shared
+                .metrics
+                .control_bytes_received
+                .inc_by(length as u64 + FRAMING_BYTES);
+            let sealed = buffer[..length].to_vec();
+            if control
+                .send(ControlMessage::Datagram { address, sealed })
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod control_message;
 mod daemon;
 mod daemon_error;
+mod datagram_socket;
 mod directory;
 mod entry;
 mod gate;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,12 @@
     pub(crate) config_applied: IntCounter,
     pub(crate) config_refused: IntCounter,
     pub(crate) config_version: IntGauge,
+    pub(crate) control_bytes_received: IntCounter,
+    pub(crate) control_bytes_sent: IntCounter,
+    pub(crate) datagrams_received: IntCounter,
+    pub(crate) datagrams_refused: IntCounter,
+    pub(crate) datagrams_sent: IntCounter,
+    pub(crate) datagrams_unsent: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) store_reads: IntCounter,
     pub(crate) store_writes: IntCounter,
@@ -44,6 +50,30 @@
                 "Configurations refused as bad or older, in versions",
             )?,
             config_version,
+            control_bytes_received: counter(
+                "medlarspool_control_received_bytes_total",
+                "Control datagrams received with their IP and UDP headers, in bytes",
+            )?,
+            control_bytes_sent: counter(
+                "medlarspool_control_sent_bytes_total",
+                "Control datagrams sent with their IP and UDP headers, in bytes",
+            )?,
+            datagrams_received: counter(
+                "medlarspool_datagrams_received_total",
+                "Control datagrams received, in datagrams",
+            )?,
+            datagrams_refused: counter(
+                "medlarspool_datagrams_refused_total",
+                "Control datagrams whose seal or content was refused, in datagrams",
+            )?,
+            datagrams_sent: counter(
+                "medlarspool_datagrams_sent_total",
+                "Control datagrams sent, in datagrams",
+            )?,
+            datagrams_unsent: counter(
+                "medlarspool_datagrams_unsent_total",
+                "Control datagrams that the kernel did not take, in datagrams",
+            )?,
             store_failures: counter(
                 "medlarspool_store_failures_total",
                 "Failed requests to the platform's store, in requests",
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -21,6 +21,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) settings: Settings,
     pub(crate) snapshot: ArcSwapOption<Snapshot>,
+    pub(crate) stopped: AtomicBool,
 }
 
 impl Shared {
@@ -32,6 +33,11 @@
             .map_or_else(ConfigHead::default, |snapshot| snapshot.head())
     }
 
+    /// Returns whether the daemon has drained and its threads end.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
