Measure the call policies beside their baselines

Cause: each policy must win against the simplest one in the same run. Change: a queueing model that replays arrivals against the real decisions under a passed-in clock, for both deployments; bench `calls_policy`, its short form as a test, and a criterion bench of the hot path.

--- /dev/null
+++ b/crates/bench/benches/admission.rs
@@ -0,0 +1,156 @@
+//! The hot path of a call at an entry: authentication, admission, choice, and the bookkeeping after
+//! an answer, at 250 services, 5,800 upstreams and 100,000 customers.
+
+use std::{
+    hint::black_box,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use fastrand::Rng;
+use medlarspool_calls::{
+    Admission, AnnouncedUpstream, CallOutcome, CallSettings, Gate, GateWork, LoadReport, RunEnd,
+    UpstreamTable,
+};
+use medlarspool_config::{CredentialHash, CustomerEntry, Lists, PlanEntry, ServiceEntry, Snapshot};
+use medlarspool_types::{CallId, ConfigHead, ConfigVersion, Incarnation, ServiceName};
+
+const CUSTOMERS: usize = 100_000;
+const PLANS: usize = 50;
+const SERVICES: usize = 250;
+const SLOTS: u32 = 9;
+const UPSTREAMS: usize = 5_800;
+const ZONES: usize = 14;
+
+criterion_group!(benches, admission, choice, gate);
+criterion_main!(benches);
+
+fn service(number: usize) -> ServiceName {
+    format!("s{number}").parse().expect("the name is valid")
+}
+
+fn snapshot() -> Snapshot {
+    let customers = (0..CUSTOMERS).map(|number| CustomerEntry {
+        credential_sha256: CredentialHash::of(&format!("secret-{number}")),
+        customer: format!("c{number}").parse().expect("the name is valid"),
+        plan: format!("p{}", number % PLANS)
+            .parse()
+            .expect("the name is valid"),
+    });
+    let plans = (0..PLANS).map(|number| PlanEntry {
+        plan: format!("p{number}").parse().expect("the name is valid"),
+        uses: (0..SERVICES).step_by(2).map(service).collect(),
+        weight: 1,
+    });
+    let services = (0..SERVICES).map(|number| ServiceEntry {
+        max_request_bytes: 1_000_000,
+        service: service(number),
+        timeout_ms: Duration::from_secs(2),
+    });
+    let lists = Lists::new(customers.collect(), plans.collect(), services.collect());
+    let lists = lists.expect("the lists are valid");
+    let head = ConfigHead {
+        version: ConfigVersion(1),
+        digest: lists.digest(),
+    };
+    Snapshot::build(head, Arc::new(lists)).expect("the digest is the lists' own")
+}
+
+fn table(now: Instant) -> UpstreamTable {
+    let zone = |number: usize| format!("z{number}").parse().expect("the name is valid");
+    let mut table = UpstreamTable::new(&CallSettings::default(), zone(0));
+    for number in 0..UPSTREAMS {
+        let announced = AnnouncedUpstream {
+            address: "127.0.0.1:1".parse().expect("the address is valid"),
+            availability_zone: zone(number % ZONES),
+            instance: format!("i{number}").parse().expect("the name is valid"),
+            slots: SLOTS,
+        };
+        table.announce(now, &service(number % SERVICES), announced);
+    }
+    table
+}
+
+fn admission(criterion: &mut Criterion) {
+    let snapshot = snapshot();
+    let services: Vec<ServiceName> = (0..SERVICES).map(service).collect();
+    let credentials: Vec<String> = (0..CUSTOMERS).map(|n| format!("secret-{n}")).collect();
+    let mut random = Rng::with_seed(1);
+    criterion.bench_function("admission_at_entry", |bencher| {
+        bencher.iter(|| {
+            let credential = &credentials[random.usize(..CUSTOMERS)];
+            let service = &services[random.usize(..SERVICES)];
+            let decided = Admission::at_entry(&snapshot, credential, service, ConfigVersion(1));
+            matches!(black_box(decided), Admission::Admitted { .. })
+        });
+    });
+}
+
+fn choice(criterion: &mut Criterion) {
+    let mut now = Instant::now();
+    let mut table = table(now);
+    let services: Vec<ServiceName> = (0..SERVICES).map(service).collect();
+    let mut random = Rng::with_seed(1);
+    let report = LoadReport {
+        queued: 1,
+        run_time: Duration::from_millis(10),
+        slots: SLOTS,
+        slots_in_use: 4,
+    };
+    criterion.bench_function("choose_and_finish", |bencher| {
+        bencher.iter(|| {
+            now += Duration::from_micros(15);
+            let service = &services[random.usize(..SERVICES)];
+            let choice = table.choose(now, &mut random, service, &[]);
+            let instance = choice.expect("the service has upstreams").instance;
+            let elapsed = Duration::from_millis(10);
+            let outcome = CallOutcome::Answered { elapsed };
+            table.finish(now, service, &instance, outcome, Some(report));
+        });
+    });
+}
+
+/// A call that queues behind a full gate, starts and ends.
+fn gate(criterion: &mut Criterion) {
+    let mut now = Instant::now();
+    let mut gate = Gate::new(&CallSettings::default(), SLOTS, Incarnation(1), now);
+    let channel = gate.open_channel();
+    let mut actions = Vec::new();
+    let mut next = 0;
+    let mut offer = |gate: &mut Gate<()>, now: Instant, actions: &mut Vec<_>| {
+        next += 1;
+        let work = GateWork {
+            call: CallId(next),
+            customer: format!("c{}", next % 16)
+                .parse()
+                .expect("the name is valid"),
+            deadline: now + Duration::from_mins(1),
+            weight: 1,
+        };
+        gate.offer(now, work, channel, actions);
+    };
+    for _ in 0..64 {
+        offer(&mut gate, now, &mut actions);
+    }
+    let mut running: std::collections::VecDeque<CallId> =
+        (1..=u128::from(SLOTS)).map(CallId).collect();
+    criterion.bench_function("gate_offer_and_finish", |bencher| {
+        bencher.iter(|| {
+            now += Duration::from_millis(1);
+            actions.clear();
+            offer(&mut gate, now, &mut actions);
+            let call = running.pop_front().expect("the slots are full");
+            let end = RunEnd::Answered {
+                answer: (),
+                answer_bytes: 1_000,
+            };
+            gate.finish(now, call, end, &mut actions);
+            for action in &actions {
+                if let medlarspool_calls::GateAction::Start { call } = action {
+                    running.push_back(*call);
+                }
+            }
+        });
+    });
+}
--- /dev/null
+++ b/crates/bench/benches/calls_policy.rs
@@ -0,0 +1,172 @@
+//! The policies of a call under load and faults, each beside its baseline, in counts under a
+//! passed-in clock. See `docs/design/calls.md`.
+
+use std::{process::ExitCode, time::Duration};
+
+use medlarspool_bench::{
+    CallsChain, CallsDeployment, CallsFault, CallsModel, CallsPolicies, CallsReport, CallsScenario,
+    RetryMode,
+};
+use medlarspool_calls::CallSettings;
+
+const TIME: Duration = Duration::from_secs(12);
+const SEEDS: std::ops::Range<u64> = 1..5;
+const LOADS_PERCENT: [u32; 5] = [50, 80, 100, 150, 300];
+const FAULT_LOADS_PERCENT: [u32; 2] = [50, 80];
+const FAULTS: [CallsFault; 7] = [
+    CallsFault::ColdHerd,
+    CallsFault::ColdOne,
+    CallsFault::Dead,
+    CallsFault::Liar,
+    CallsFault::Slow,
+    CallsFault::Unreachable,
+    CallsFault::ZoneGone,
+];
+const POLICIES: [CallsPolicies; 8] = [
+    CallsPolicies::BASELINE,
+    CallsPolicies::RANDOM_CHOICE,
+    CallsPolicies::FIFO_QUEUE,
+    CallsPolicies::NO_EJECTION,
+    CallsPolicies::NO_RAMP,
+    CallsPolicies::NO_ZONES,
+    CallsPolicies::UNBOUNDED_RETRY,
+    CallsPolicies::CHOSEN,
+];
+const DEPTH: usize = 8;
+const ROOTS: u32 = 20_000;
+
+/// At most this many calls for each one without retries, 8 deep.
+const AMPLIFICATION_BOUND: f64 = 1.1;
+/// At least this share of what capacity allows is answered at 300% load.
+const ANSWERED_BOUND_PERCENT: f64 = 95.0;
+
+fn main() -> ExitCode {
+    let mut missed: Vec<String> = Vec::new();
+    for deployment in [CallsDeployment::trust(), CallsDeployment::atlas()] {
+        for load in LOADS_PERCENT {
+            measure(&deployment, CallsFault::None, load, &mut missed);
+        }
+        measure(&deployment, CallsFault::Flood, 300, &mut missed);
+        for fault in FAULTS {
+            for load in FAULT_LOADS_PERCENT {
+                measure(&deployment, fault, load, &mut missed);
+            }
+        }
+    }
+    amplify(&mut missed);
+    if missed.is_empty() {
+        println!("bound: held");
+        return ExitCode::SUCCESS;
+    }
+    println!("bound: missed {}", missed.join(" "));
+    ExitCode::FAILURE
+}
+
+fn measure(
+    deployment: &CallsDeployment,
+    fault: CallsFault,
+    load_percent: u32,
+    missed: &mut Vec<String>,
+) {
+    for policies in POLICIES {
+        let mut report = CallsReport::default();
+        for seed in SEEDS {
+            report.add(&CallsModel::run(CallsScenario {
+                deployment: deployment.clone(),
+                fault,
+                load_percent,
+                policies,
+                seed,
+                settings: CallSettings::default(),
+                time: TIME,
+            }));
+        }
+        let what = format!("{}.{fault}.{load_percent}", deployment.name);
+        print(&format!("{what}.{}", policies.name), &report);
+        if policies == CallsPolicies::CHOSEN {
+            check(&what, fault, load_percent, &report, missed);
+        }
+    }
+}
+
+fn print(name: &str, report: &CallsReport) {
+    println!("{name}.answered {:.2} %", report.answered_percent());
+    println!("{name}.of_capacity {:.2} %", report.completed_percent());
+    println!("{name}.quiet_answered {:.2} %", report.quiet_percent());
+    println!("{name}.far {:.1} %", report.far_percent());
+    println!("{name}.wait_mean {:.1} ms", report.wait_mean_ms());
+    println!("{name}.wait_p50 {:.1} ms", report.wait_ms(0.5));
+    println!("{name}.wait_p99 {:.1} ms", report.wait_ms(0.99));
+    println!("{name}.tries {:.3} a_request", report.tries_per_request());
+    println!("{name}.may_have_run {} requests", report.may_have_run);
+    println!("{name}.double_runs {} requests", report.double_runs);
+    println!("{name}.false_not_run {} requests", report.false_not_run);
+}
+
+fn check(
+    what: &str,
+    fault: CallsFault,
+    load_percent: u32,
+    report: &CallsReport,
+    missed: &mut Vec<String>,
+) {
+    if report.double_runs > 0 {
+        missed.push(format!("{what}.double_runs"));
+    }
+    if report.false_not_run > 0 {
+        missed.push(format!("{what}.false_not_run"));
+    }
+    let overloaded = fault == CallsFault::None && load_percent == 300;
+    if overloaded && report.completed_percent() < ANSWERED_BOUND_PERCENT {
+        missed.push(format!("{what}.of_capacity"));
+    }
+}
+
+/// Counts the calls 8 deep, with the last service failing half of them, and with all failing some.
+fn amplify(missed: &mut Vec<String>) {
+    let mut last = [0; DEPTH];
+    last[DEPTH - 1] = 50;
+    for (name, fails) in [("last_fails_half", last), ("all_fail_a_tenth", [10; DEPTH])] {
+        let plain = run_chain(&fails, RetryMode::Budget, 0);
+        for (mode, policy) in [
+            (RetryMode::Unbounded, "baseline"),
+            (RetryMode::Budget, "chosen"),
+        ] {
+            let tries = CallSettings::default().tries;
+            let chain = run_chain(&fails, mode, tries);
+            let ratio = ratio(&chain, &plain);
+            println!("chain.{name}.{policy}.answered {} roots", chain.answered);
+            println!("chain.{name}.{policy}.amplification {ratio:.3} times");
+            if mode == RetryMode::Budget && ratio > AMPLIFICATION_BOUND {
+                missed.push(format!("chain.{name}.amplification"));
+            }
+        }
+    }
+}
+
+struct ChainRun {
+    answered: u32,
+    calls: Vec<u64>,
+}
+
+fn run_chain(fails_percent: &[u32], mode: RetryMode, tries: u32) -> ChainRun {
+    let settings = CallSettings {
+        tries,
+        ..CallSettings::default()
+    };
+    let mut chain = CallsChain::new(&settings, fails_percent, mode);
+    let answered = chain.run(ROOTS);
+    ChainRun {
+        answered,
+        calls: chain.calls().to_vec(),
+    }
+}
+
+/// Returns the calls of the service that got most, for each one that it got without retries.
+fn ratio(chain: &ChainRun, plain: &ChainRun) -> f64 {
+    let ratios = chain.calls.iter().zip(&plain.calls).map(|(calls, plain)| {
+        let count = |calls: &u64| u32::try_from(*calls).map_or(f64::MAX, f64::from);
+        count(calls) / count(plain)
+    });
+    ratios.fold(0.0, f64::max)
+}
--- /dev/null
+++ b/crates/bench/src/calls_deployment.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+
+/// One upstream of a modelled deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelUpstream {
+    /// The mean time of a run when the upstream is not overcommitted.
+    pub run_time: Duration,
+    /// The zone that it stands in.
+    pub zone: usize,
+}
+
+/// The size and speeds of a modelled deployment.
+#[derive(Clone, Debug)]
+pub struct CallsDeployment {
+    /// The time between zones, one way.
+    pub link: Duration,
+    /// What the figures are called by.
+    pub name: &'static str,
+    /// The upstreams of each service.
+    pub services: Vec<Vec<ModelUpstream>>,
+    /// The slots of each upstream.
+    pub slots: u32,
+    /// The number of availability zones.
+    pub zones: usize,
+}
+
+/// Run times in milliseconds, in the order in which upstreams take them.
+const RUN_TIMES_MS: [u64; 7] = [50, 100, 30, 60, 150, 40, 75];
+
+impl CallsDeployment {
+    /// Four services of 3 to 6 upstreams with 6 slots, over three zones.
+    #[must_use]
+    pub fn trust() -> Self {
+        Self::new("trust", &[3, 4, 5, 6], 6, 3, Duration::from_micros(750))
+    }
+
+    /// Four services of 4 to 5 upstreams with 9 slots, over four zones.
+    #[must_use]
+    pub fn atlas() -> Self {
+        Self::new("atlas", &[4, 5, 4, 5], 9, 4, Duration::from_micros(500))
+    }
+
+    /// Returns the runs that a service's upstreams end in a second.
+    #[must_use]
+    pub fn runs_per_second(&self, service: usize) -> f64 {
+        let speeds = self.services[service]
+            .iter()
+            .map(|upstream| f64::from(self.slots) / upstream.run_time.as_secs_f64());
+        speeds.sum()
+    }
+
+    fn new(name: &'static str, sizes: &[usize], slots: u32, zones: usize, link: Duration) -> Self {
+        let mut next = 0;
+        let mut upstream = || {
+            let run_time_ms = RUN_TIMES_MS[next % RUN_TIMES_MS.len()];
+            let zone = next % zones;
+            next += 1;
+            ModelUpstream {
+                run_time: Duration::from_millis(run_time_ms),
+                zone,
+            }
+        };
+        let mut service = |size: &usize| (0..*size).map(|_| upstream()).collect();
+        let services = sizes.iter().map(&mut service).collect();
+        Self {
+            link,
+            name,
+            services,
+            slots,
+            zones,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/calls_draws.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use fastrand::Rng;
+use medlarspool_calls::Idempotency;
+
+use crate::{CallsFault, CallsScenario};
+
+/// The customers; the first is the one that floods.
+const CUSTOMERS: u32 = 4;
+/// One in this many requests is not idempotent.
+const NON_IDEMPOTENT_ONE_IN: u32 = 5;
+
+/// All that the model draws by lot.
+#[derive(Debug)]
+pub(crate) struct CallsDraws {
+    pub(crate) random: Rng,
+}
+
+impl CallsDraws {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            random: Rng::with_seed(seed),
+        }
+    }
+
+    /// In a flood the others send a tenth of capacity each, and the first customer the rest.
+    pub(crate) fn customer(&mut self, scenario: &CallsScenario) -> u32 {
+        if scenario.fault != CallsFault::Flood {
+            return self.random.u32(..CUSTOMERS);
+        }
+        let quiet = self.random.u32(..scenario.load_percent) < 10 * (CUSTOMERS - 1);
+        if quiet {
+            self.random.u32(1..CUSTOMERS)
+        } else {
+            0
+        }
+    }
+
+    pub(crate) fn exponential(&mut self) -> f64 {
+        -(1.0 - self.random.f64()).ln()
+    }
+
+    /// Draws the time until a service's next call.
+    pub(crate) fn gap(&mut self, scenario: &CallsScenario, service: usize) -> Duration {
+        let load = f64::from(scenario.load_percent) / 100.0;
+        let rate = scenario.deployment.runs_per_second(service) * load;
+        Duration::from_secs_f64(self.exponential() / rate)
+    }
+
+    pub(crate) fn idempotency(&mut self) -> Idempotency {
+        match self.random.u32(..NON_IDEMPOTENT_ONE_IN) {
+            0 => Idempotency::NonIdempotent,
+            _ => Idempotency::Idempotent,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/calls_entry.rs
@@ -0,0 +1,76 @@
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use medlarspool_calls::{RetryBudget, UpstreamTable};
+use medlarspool_types::{InstanceId, ServiceName};
+
+use crate::{
+    CallsScenario, ChoicePart, ChoicePolicy,
+    calls_names::{name, number},
+    calls_upstream::CallsUpstream,
+};
+
+/// One daemon of the model, as the entry of its callers.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) budgets: Vec<RetryBudget>,
+    pub(crate) is_gone: bool,
+    /// Whether the connection to each upstream was found silent.
+    pub(crate) lost: Vec<bool>,
+    pub(crate) table: UpstreamTable,
+    pub(crate) zone: usize,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        scenario: &CallsScenario,
+        services: &[ServiceName],
+        upstreams: &[CallsUpstream],
+        zone: usize,
+        now: Instant,
+    ) -> Self {
+        let settings = &scenario.settings;
+        let own_zone = match scenario.policies.without {
+            Some(ChoicePart::Zones) => name("none"),
+            _ => name(&format!("z{zone}")),
+        };
+        let mut table = UpstreamTable::new(settings, own_zone);
+        for upstream in upstreams {
+            let announced = upstream.announced();
+            table.announce(now, &services[upstream.service()], announced);
+        }
+        Self {
+            budgets: services
+                .iter()
+                .map(|_| RetryBudget::new(settings))
+                .collect(),
+            is_gone: false,
+            lost: vec![false; upstreams.len()],
+            table,
+            zone,
+        }
+    }
+
+    /// Chooses an upstream, and returns its number and the time until an answer that is expected.
+    pub(crate) fn choose(
+        &mut self,
+        policy: ChoicePolicy,
+        now: Instant,
+        random: &mut Rng,
+        service: &ServiceName,
+        tried: &[InstanceId],
+    ) -> Option<(usize, Duration)> {
+        if policy == ChoicePolicy::LeastWait {
+            let choice = self.table.choose(now, random, service, tried)?;
+            return Some((number(&choice.instance), choice.expected));
+        }
+        let known = self.table.pool(service)?.upstreams();
+        let open: Vec<usize> = known
+            .iter()
+            .filter(|upstream| !tried.contains(upstream.instance()))
+            .map(|upstream| number(upstream.instance()))
+            .collect();
+        let drawn = random.usize(..open.len().max(1));
+        Some((*open.get(drawn)?, Duration::ZERO))
+    }
+}
--- /dev/null
+++ b/crates/bench/src/calls_tally.rs
@@ -0,0 +1,89 @@
+use std::time::Instant;
+
+use medlarspool_calls::Idempotency;
+use medlarspool_types::Verdict;
+
+use crate::{CallsReport, CallsScenario, calls_request::Request, calls_upstream::CallsUpstream};
+
+/// Counts what becomes of the requests that arrive in the counted time.
+#[derive(Debug)]
+pub(crate) struct CallsTally {
+    from: Instant,
+    report: CallsReport,
+    services: usize,
+    to: Instant,
+}
+
+impl CallsTally {
+    pub(crate) fn new(scenario: &CallsScenario, start: Instant) -> Self {
+        Self {
+            from: start + scenario.counted_from(),
+            report: CallsReport::default(),
+            services: scenario.deployment.services.len(),
+            to: start + scenario.time,
+        }
+    }
+
+    pub(crate) fn arrive(&mut self, request: &Request) {
+        if self.is_counted(request.arrived) {
+            self.report.arrived += 1;
+            self.report.quiet_arrived += u64::from(request.customer != 0);
+        }
+    }
+
+    pub(crate) fn attempt(&mut self, request: &Request, is_far: bool) {
+        if self.is_counted(request.arrived) {
+            self.report.tries += 1;
+            self.report.far_tries += u64::from(is_far);
+        }
+    }
+
+    pub(crate) fn answer(&mut self, now: Instant, request: &Request) {
+        if self.is_counted(now) {
+            self.report.completed += 1;
+        }
+        if self.is_counted(request.arrived) {
+            self.report.answered += 1;
+            self.report.quiet_answered += u64::from(request.customer != 0);
+            let wait_us = (now - request.arrived).as_micros();
+            let wait_us = u64::try_from(wait_us).unwrap_or(u64::MAX);
+            self.report.wait_us.saturating_record(wait_us);
+        }
+    }
+
+    pub(crate) fn give_up(&mut self, request: &Request, verdict: Verdict) {
+        if !self.is_counted(request.arrived) {
+            return;
+        }
+        let not_run = verdict == Verdict::NotRun && !request.may_have_run;
+        self.report.false_not_run += u64::from(not_run && request.runs > 0);
+        self.report.not_run += u64::from(not_run);
+        self.report.may_have_run += u64::from(!not_run);
+    }
+
+    /// Adds what is known at the end: the capacity of each service, and double runs.
+    pub(crate) fn sum_up(
+        mut self,
+        upstreams: &[CallsUpstream],
+        requests: &[Request],
+    ) -> CallsReport {
+        for service in 0..self.services {
+            let members = upstreams.iter().filter(|u| u.service() == service);
+            let could: f64 = members.map(|u| u.runs_between(self.from, self.to)).sum();
+            let arrived = requests
+                .iter()
+                .filter(|r| r.service == service && self.is_counted(r.arrived));
+            let arrived = u32::try_from(arrived.count()).unwrap_or(u32::MAX);
+            self.report.capacity += could.min(f64::from(arrived));
+        }
+        let twice = requests
+            .iter()
+            .filter(|r| r.idempotency == Idempotency::NonIdempotent && r.runs > 1);
+        self.report.double_runs = twice.count() as u64;
+        self.report
+    }
+
+    fn is_counted(&self, at: Instant) -> bool {
+        at >= self.from && at < self.to
+    }
+}
--- /dev/null
+++ b/crates/bench/src/calls_upstream.rs
@@ -0,0 +1,180 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_calls::{AnnouncedUpstream, LoadReport};
+use medlarspool_types::InstanceId;
+
+use crate::{CallsFault, CallsGate, CallsScenario, ModelUpstream, calls_names::name};
+
+/// How many times its true slots a lying upstream announces.
+const LIE: u32 = 4;
+/// How much slower a slow upstream becomes.
+const SLOWER: f64 = 10.0;
+/// How much slower an upstream is when it has just started.
+const COLD: f64 = 5.0;
+/// The time that a cold upstream takes to its full speed.
+const WARM_UP: Duration = Duration::from_secs(5);
+/// The step by which capacity is summed.
+const STEP: Duration = Duration::from_millis(50);
+
+/// One upstream of the model, with its gate.
+#[derive(Debug)]
+pub(crate) struct CallsUpstream {
+    pub(crate) gate: CallsGate,
+    pub(crate) is_dead: bool,
+    announced_slots: u32,
+    fault: CallsFault,
+    fault_since: Option<Instant>,
+    instance: InstanceId,
+    running: u32,
+    service: usize,
+    spec: ModelUpstream,
+    true_slots: u32,
+}
+
+impl CallsUpstream {
+    pub(crate) fn all(scenario: &CallsScenario, now: Instant) -> Vec<Self> {
+        let mut upstreams = Vec::new();
+        for (service, members) in scenario.deployment.services.iter().enumerate() {
+            for member in members {
+                let number = upstreams.len();
+                upstreams.push(Self::new(scenario, *member, number, service, now));
+            }
+        }
+        upstreams
+    }
+
+    fn new(
+        scenario: &CallsScenario,
+        spec: ModelUpstream,
+        number: usize,
+        service: usize,
+        now: Instant,
+    ) -> Self {
+        let is_first = scenario.deployment.services[..service]
+            .iter()
+            .map(Vec::len)
+            .sum::<usize>()
+            == number;
+        let fault = match scenario.fault {
+            CallsFault::ColdOne
+            | CallsFault::Dead
+            | CallsFault::Liar
+            | CallsFault::Slow
+            | CallsFault::Unreachable
+                if !is_first =>
+            {
+                CallsFault::None
+            }
+            CallsFault::ZoneGone if spec.zone != 0 => CallsFault::None,
+            fault => fault,
+        };
+        let true_slots = scenario.deployment.slots;
+        let announced_slots = match fault {
+            CallsFault::Liar => true_slots * LIE,
+            _ => true_slots,
+        };
+        let policy = scenario.policies.queue;
+        Self {
+            gate: CallsGate::new(policy, &scenario.settings, announced_slots, now),
+            is_dead: false,
+            announced_slots,
+            fault,
+            fault_since: None,
+            instance: name(&format!("i{number}")),
+            running: 0,
+            service,
+            spec,
+            true_slots,
+        }
+    }
+
+    pub(crate) fn instance(&self) -> &InstanceId {
+        &self.instance
+    }
+
+    pub(crate) fn announced(&self) -> AnnouncedUpstream {
+        AnnouncedUpstream {
+            address: "127.0.0.1:1".parse().expect("the address is constant"),
+            availability_zone: name(&format!("z{}", self.spec.zone)),
+            instance: self.instance.clone(),
+            slots: self.announced_slots,
+        }
+    }
+
+    pub(crate) const fn service(&self) -> usize {
+        self.service
+    }
+
+    pub(crate) const fn zone(&self) -> usize {
+        self.spec.zone
+    }
+
+    pub(crate) fn begin_fault(&mut self, now: Instant, fault: CallsFault) {
+        if self.fault != fault {
+            return;
+        }
+        self.fault_since = Some(now);
+        self.is_dead = matches!(
+            fault,
+            CallsFault::Dead | CallsFault::Unreachable | CallsFault::ZoneGone
+        );
+    }
+
+    /// Whether it came up anew, so that entries know nothing of it.
+    pub(crate) fn is_restarted(&self) -> bool {
+        let is_cold = matches!(self.fault, CallsFault::ColdHerd | CallsFault::ColdOne);
+        is_cold && self.fault_since.is_some()
+    }
+
+    /// A liar's report says that it is idle and fast.
+    pub(crate) fn load(&self, now: Instant) -> LoadReport {
+        let honest = self.gate.load(now);
+        if self.fault != CallsFault::Liar {
+            return honest;
+        }
+        LoadReport {
+            queued: 0,
+            run_time: Duration::from_millis(1),
+            slots: honest.slots,
+            slots_in_use: 0,
+        }
+    }
+
+    /// Starts a run and returns its time; what runs beyond the true slots slows all.
+    pub(crate) fn start_run(&mut self, now: Instant, factor: f64) -> Duration {
+        self.running += 1;
+        let crowded = f64::from(self.running) / f64::from(self.true_slots);
+        let time = self.spec.run_time.mul_f64(factor * self.slowness(now));
+        time.mul_f64(crowded.max(1.0))
+    }
+
+    pub(crate) fn end_run(&mut self) {
+        self.running -= 1;
+    }
+
+    pub(crate) fn runs_between(&self, from: Instant, to: Instant) -> f64 {
+        let full = f64::from(self.true_slots) / self.spec.run_time.as_secs_f64();
+        let mut runs = 0.0;
+        let mut at = from;
+        while at < to {
+            let dead = self.is_dead && self.fault_since.is_some_and(|since| at >= since);
+            if !dead {
+                runs += full * STEP.as_secs_f64() / self.slowness(at);
+            }
+            at += STEP;
+        }
+        runs
+    }
+
+    fn slowness(&self, now: Instant) -> f64 {
+        let Some(since) = self.fault_since else {
+            return 1.0;
+        };
+        let up = now.saturating_duration_since(since).as_secs_f64() / WARM_UP.as_secs_f64();
+        match self.fault {
+            CallsFault::ColdHerd | CallsFault::ColdOne => (COLD - (COLD - 1.0) * up).max(1.0),
+            CallsFault::Slow => SLOWER,
+            _ => 1.0,
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,22 @@
 //! Stand-ins for what surrounds the fleet, and what the benches share; not shipped.
 
 mod caller_reply;
+mod calls_chain;
+mod calls_deployment;
+mod calls_draws;
+mod calls_entry;
+mod calls_event;
+mod calls_events;
+mod calls_fault;
+mod calls_gate;
+mod calls_model;
+mod calls_names;
+mod calls_policies;
+mod calls_report;
+mod calls_request;
+mod calls_scenario;
+mod calls_tally;
+mod calls_upstream;
 mod child_process;
 mod daemon_spec;
 mod local_daemon;
@@ -21,6 +37,14 @@
 
 pub use crate::{
     caller_reply::CallerReply,
+    calls_chain::CallsChain,
+    calls_deployment::{CallsDeployment, ModelUpstream},
+    calls_fault::CallsFault,
+    calls_gate::CallsGate,
+    calls_model::CallsModel,
+    calls_policies::{CallsPolicies, ChoicePart, ChoicePolicy, QueuePolicy, RetryMode},
+    calls_report::CallsReport,
+    calls_scenario::CallsScenario,
     child_process::ChildProcess,
     daemon_spec::{DaemonSpec, FLEET_KEY, OPERATOR_TOKEN, PLATFORM_TOKEN},
     local_daemon::{LocalDaemon, wait_until_ready},
--- /dev/null
+++ b/crates/bench/tests/calls_policy.rs
@@ -0,0 +1,76 @@
+//! The short form of the bench `calls_policy`: the same model, counts and bounds, for CI.
+
+use std::time::Duration;
+
+use medlarspool_bench::{
+    CallsChain, CallsDeployment, CallsFault, CallsModel, CallsPolicies, CallsReport, CallsScenario,
+    RetryMode,
+};
+use medlarspool_calls::CallSettings;
+use rstest::rstest;
+
+fn run(policies: CallsPolicies, fault: CallsFault, load_percent: u32) -> CallsReport {
+    CallsModel::run(CallsScenario {
+        deployment: CallsDeployment::trust(),
+        fault,
+        load_percent,
+        policies,
+        seed: 1,
+        settings: CallSettings::default(),
+        time: Duration::from_secs(6),
+    })
+}
+
+#[rstest]
+#[case::none(CallsFault::None, 100)]
+#[case::overload(CallsFault::None, 300)]
+#[case::cold_herd(CallsFault::ColdHerd, 80)]
+#[case::dead(CallsFault::Dead, 80)]
+#[case::liar(CallsFault::Liar, 80)]
+#[case::slow(CallsFault::Slow, 80)]
+#[case::unreachable(CallsFault::Unreachable, 80)]
+#[case::zone_gone(CallsFault::ZoneGone, 80)]
+fn no_double_run_no_false_not_run_and_more_answers(
+    #[case] fault: CallsFault,
+    #[case] load_percent: u32,
+) {
+    let chosen = run(CallsPolicies::CHOSEN, fault, load_percent);
+    let baseline = run(CallsPolicies::BASELINE, fault, load_percent);
+    assert_eq!((chosen.double_runs, chosen.false_not_run), (0, 0));
+    assert!(chosen.answered > baseline.answered);
+}
+
+#[test]
+fn overload_is_answered_to_95_in_100_of_capacity() {
+    let report = run(CallsPolicies::CHOSEN, CallsFault::None, 300);
+    let percent = report.completed_percent();
+    assert!(percent >= 95.0, "{percent}");
+}
+
+#[test]
+fn a_flood_takes_nothing_from_those_within_their_share() {
+    let report = run(CallsPolicies::CHOSEN, CallsFault::Flood, 300);
+    let percent = report.quiet_percent();
+    assert!(percent >= 99.0, "{percent}");
+}
+
+#[test]
+fn the_same_seed_counts_the_same() {
+    let first = run(CallsPolicies::CHOSEN, CallsFault::Dead, 80);
+    let second = run(CallsPolicies::CHOSEN, CallsFault::Dead, 80);
+    assert_eq!(first.wait_us, second.wait_us);
+    assert_eq!(first.tries, second.tries);
+}
+
+#[rstest]
+#[case::last_fails_half([0, 0, 0, 0, 0, 0, 0, 50])]
+#[case::all_fail_a_tenth([10; 8])]
+#[case::all_fail_half([50; 8])]
+fn eight_deep_a_failure_does_not_multiply(#[case] fails_percent: [u32; 8]) {
+    const ROOTS: u32 = 20_000;
+    let settings = CallSettings::default();
+    let mut chain = CallsChain::new(&settings, &fails_percent, RetryMode::Budget);
+    chain.run(ROOTS);
+    let most = chain.calls().iter().max().copied().unwrap();
+    assert!(most * 10 <= u64::from(ROOTS) * 11, "{most}");
+}
