--- /dev/null
+++ b/crates/bench/benches/membership.rs
@@ -0,0 +1,216 @@
+//! Measures membership: steady cost, notice of deaths and leavings, herds, and state at full size.
+
+use std::{
+    hint::black_box,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use medlarspool_bench::{Figures, LinearFit, MembershipPair, MembershipRun, fill, member};
+use medlarspool_membership::{Membership, MembershipEvent, MembershipSettings};
+
+/// The fleets that run on real sockets, and the first port of each.
+const FLEETS: [(usize, u16); 4] = [(25, 21_000), (50, 21_100), (100, 21_200), (200, 21_400)];
+
+/// The sizes at which the state of one core is measured.
+const STATE_SIZES: [usize; 4] = [1_450, 2_900, 4_350, 5_800];
+
+/// The daemons of the fleet in two years.
+const FULL_SIZE: f64 = 5_800.0;
+
+/// The same as a count.
+const FULL_MEMBERS: usize = 5_800;
+
+/// A third of the bytes that control may take of a daemon each second.
+const BYTES_BOUND: f64 = 6_000.0;
+
+/// A third of the processor time that control may take of a daemon, in thousandths of a percent.
+const CORE_BOUND_MILLI: f64 = 600.0;
+
+/// A third of the memory that control may take of a daemon, in megabytes.
+const MEMORY_BOUND_MB: f64 = 85.0;
+
+/// The time within which no daemon gives work to one that leaves.
+const LEAVING_BOUND_MS: f64 = 3_000.0;
+
+/// The cores of which the memory is measured together.
+const CORES: usize = 8;
+
+/// The bytes of a page of memory.
+const PAGE_BYTES: f64 = 4_096.0;
+
+fn main() -> ExitCode {
+    let mut figures = Figures::default();
+    measure_state(&mut figures);
+    measure_repair(&mut figures);
+    let runs =
+        FLEETS.map(|(size, port)| std::thread::spawn(move || MembershipRun::all(size, port)));
+    for run in runs {
+        match run.join() {
+            Ok(measured) => figures.extend(measured),
+            Err(_) => figures.add_bounded("run_completed", f64::NAN, "runs", 0.0),
+        }
+    }
+    derive(&mut figures);
+    figures.print();
+    if figures.print_bound() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Fits what was measured on sockets and derives the figures at full size.
+fn derive(figures: &mut Figures) {
+    let logarithm = |size: usize| number(size).ln();
+    let full = FULL_SIZE;
+    let rows = [
+        (
+            "steady_bytes",
+            "bytes/s",
+            full,
+            BYTES_BOUND,
+            &number as &dyn Fn(usize) -> f64,
+        ),
+        (
+            "steady_core_milli",
+            "milli%",
+            full,
+            CORE_BOUND_MILLI,
+            &number,
+        ),
+        (
+            "leaving_last",
+            "ms",
+            full.ln(),
+            LEAVING_BOUND_MS,
+            &logarithm,
+        ),
+        (
+            "crash_suspected_last",
+            "ms",
+            full.ln(),
+            f64::INFINITY,
+            &logarithm,
+        ),
+        (
+            "crash_dead_last",
+            "ms",
+            full.ln(),
+            f64::INFINITY,
+            &logarithm,
+        ),
+        ("herd_dead_last", "ms", full.ln(), f64::INFINITY, &logarithm),
+        (
+            "herd_return_agreed",
+            "ms",
+            full.ln(),
+            f64::INFINITY,
+            &logarithm,
+        ),
+    ];
+    for (name, unit, at, bound, scale) in rows {
+        let points: Vec<[f64; 2]> = FLEETS
+            .iter()
+            .filter_map(|(size, _)| {
+                let value = figures.value(&format!("{name}_{size}"))?;
+                Some([scale(*size), value])
+            })
+            .collect();
+        let fit = LinearFit::of(&points);
+        figures.add(format!("{name}_intercept"), fit.intercept, unit);
+        figures.add(format!("{name}_slope"), fit.slope, unit);
+        figures.add(format!("{name}_spread"), fit.spread, unit);
+        figures.add_bounded(format!("{name}_at_5800"), fit.at(at), unit, bound);
+    }
+}
+
+/// Measures the memory of a core's state and the time of its heaviest steps at full size.
+fn measure_state(figures: &mut Figures) {
+    let mut points = Vec::new();
+    for size in STATE_SIZES {
+        let before = resident_bytes();
+        let now = Instant::now();
+        let cores: Vec<Membership> = (0..CORES).map(|_| filled(size, now)).collect();
+        let bytes = (resident_bytes() - before) / number(CORES);
+        points.push([number(size), bytes]);
+        figures.add(format!("state_bytes_{size}"), bytes, "bytes");
+        black_box(&cores);
+        std::mem::forget(cores);
+    }
+    let fit = LinearFit::of(&points);
+    figures.add("state_bytes_slope", fit.slope, "bytes/member");
+    figures.add("state_bytes_spread", fit.spread, "bytes");
+    let megabytes = fit.at(FULL_SIZE) / 1e6;
+    figures.add_bounded("state_at_5800", megabytes, "MB", MEMORY_BOUND_MB);
+    let now = Instant::now();
+    let mut core = filled(FULL_MEMBERS, now);
+    let started = Instant::now();
+    let ticks = 600_u32;
+    for second in 1..=ticks {
+        let at = now + Duration::from_secs(second.into());
+        let mut actions = Vec::new();
+        core.handle(at, MembershipEvent::Tick, &mut actions);
+        black_box(actions);
+    }
+    let each = started.elapsed().as_secs_f64() / f64::from(ticks);
+    figures.add("silent_fleet_tick_5800", each * 1e6, "us");
+}
+
+/// Counts what it costs to make two views agree, against handing over the whole.
+fn measure_repair(figures: &mut Figures) {
+    let settings = MembershipSettings {
+        pages_per_second: 10_000,
+        probe_interval: Duration::from_hours(1),
+        ..MembershipSettings::default()
+    };
+    for size in STATE_SIZES {
+        let mut pair = MembershipPair::new(size, 2, &settings);
+        pair.introduce();
+        let agreed = pair.run_until_agreed(Duration::from_mins(2));
+        let failed = f64::from(u8::from(!agreed));
+        figures.add_bounded(format!("join_failed_{size}"), failed, "joins", 0.0);
+        figures.add(format!("join_bytes_{size}"), number(pair.bytes), "bytes");
+        figures.add(
+            format!("join_messages_{size}"),
+            number(pair.messages),
+            "messages",
+        );
+        let seconds = pair.elapsed.as_secs_f64();
+        figures.add(format!("join_time_{size}"), seconds, "s");
+    }
+    for missing in [1, 10, 100, 1_000] {
+        let mut pair = MembershipPair::new(FULL_MEMBERS - missing, 2, &settings);
+        pair.introduce();
+        let joined = pair.run_until_agreed(Duration::from_mins(2));
+        pair.diverge(FULL_MEMBERS);
+        let agreed = joined && pair.run_until_agreed(Duration::from_mins(10));
+        let failed = f64::from(u8::from(!agreed));
+        figures.add_bounded(format!("repair_failed_{missing}"), failed, "repairs", 0.0);
+        figures.add(
+            format!("repair_bytes_{missing}"),
+            number(pair.bytes),
+            "bytes",
+        );
+    }
+    let whole = MembershipPair::new(FULL_MEMBERS, 2, &settings).whole_view_bytes();
+    figures.add("whole_view_bytes_5800", number(whole), "bytes");
+}
+
+fn filled(members: usize, now: Instant) -> Membership {
+    let settings = MembershipSettings::default();
+    let mut core = Membership::new(settings, member(0), 1, now);
+    fill(&mut core, members, now);
+    core
+}
+
+fn number(value: usize) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
+fn resident_bytes() -> f64 {
+    let statistics = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statistics.split_whitespace().nth(1);
+    let pages = pages.and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- /dev/null
+++ b/crates/bench/src/figure.rs
@@ -0,0 +1,28 @@
+/// One figure of a bench, printed as `name value unit`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figure {
+    /// The name, in snake case.
+    pub name: String,
+    /// The unit.
+    pub unit: &'static str,
+    /// The value.
+    pub value: f64,
+}
+
+impl Figure {
+    /// Makes a figure.
+    #[must_use]
+    pub fn new(name: impl Into<String>, value: f64, unit: &'static str) -> Self {
+        Self {
+            name: name.into(),
+            unit,
+            value,
+        }
+    }
+}
+
+impl std::fmt::Display for Figure {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} {:.1} {}", self.name, self.value, self.unit)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/figures.rs
@@ -0,0 +1,61 @@
+use crate::Figure;
+
+/// The figures of a bench and the bounds that they missed.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    all: Vec<Figure>,
+    missed: Vec<String>,
+}
+
+impl Figures {
+    /// Adds a figure.
+    pub fn add(&mut self, name: impl Into<String>, value: f64, unit: &'static str) {
+        self.all.push(Figure::new(name, value, unit));
+    }
+
+    /// Adds a figure that must not be above a bound.
+    pub fn add_bounded(
+        &mut self,
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+        most: f64,
+    ) {
+        let name = name.into();
+        if value.is_nan() || value > most {
+            self.missed.push(name.clone());
+        }
+        self.add(name, value, unit);
+    }
+
+    /// Takes in the figures and missed bounds of another run.
+    pub fn extend(&mut self, other: Self) {
+        self.all.extend(other.all);
+        self.missed.extend(other.missed);
+    }
+
+    /// Returns the value of a figure.
+    #[must_use]
+    pub fn value(&self, name: &str) -> Option<f64> {
+        let mut found = self.all.iter().filter(|figure| figure.name == name);
+        found.next().map(|figure| figure.value)
+    }
+
+    /// Prints the figures added since the last time, so that a long bench shows its way.
+    pub fn print(&self) {
+        for figure in &self.all {
+            println!("{figure}");
+        }
+    }
+
+    /// Prints whether all bounds were held and returns it.
+    #[must_use]
+    pub fn print_bound(&self) -> bool {
+        if self.missed.is_empty() {
+            println!("bound: held");
+        } else {
+            println!("bound: missed {}", self.missed.join(" "));
+        }
+        self.missed.is_empty()
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -19,8 +19,16 @@
 mod calls_upstream;
 mod child_process;
 mod daemon_spec;
+mod figure;
+mod figures;
+mod linear_fit;
 mod local_daemon;
 mod loopback;
+mod membership_fleet;
+mod membership_node;
+mod membership_pair;
+mod membership_run;
+mod membership_traffic;
 mod page_digests;
 mod process_daemon;
 mod process_fleet;
@@ -47,8 +55,16 @@
     calls_scenario::CallsScenario,
     child_process::ChildProcess,
     daemon_spec::{DaemonSpec, FLEET_KEY, OPERATOR_TOKEN, PLATFORM_TOKEN},
+    figure::Figure,
+    figures::Figures,
+    linear_fit::LinearFit,
     local_daemon::{LocalDaemon, wait_until_ready},
     loopback::free_address,
+    membership_fleet::{MembershipFleet, MembershipSight},
+    membership_node::MembershipNode,
+    membership_pair::{MembershipPair, fill, member},
+    membership_run::MembershipRun,
+    membership_traffic::MembershipTraffic,
     page_digests::PageDigests,
     process_daemon::ProcessDaemon,
     process_fleet::ProcessFleet,
--- /dev/null
+++ b/crates/bench/src/linear_fit.rs
@@ -0,0 +1,40 @@
+/// A straight line through measured points, by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinearFit {
+    /// The value at 0.
+    pub intercept: f64,
+    /// The greatest distance of a point from the line.
+    pub spread: f64,
+    /// The growth of the value for each unit.
+    pub slope: f64,
+}
+
+impl LinearFit {
+    /// Fits a line; two points at the least.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "a handful of points")]
+    pub fn of(points: &[[f64; 2]]) -> Self {
+        let count = points.len() as f64;
+        let mean = |at: usize| points.iter().map(|point| point[at]).sum::<f64>() / count;
+        let (mean_x, mean_y) = (mean(0), mean(1));
+        let square: f64 = points.iter().map(|[x, _]| (x - mean_x).powi(2)).sum();
+        let product: f64 = points
+            .iter()
+            .map(|[x, y]| (x - mean_x) * (y - mean_y))
+            .sum();
+        let slope = product / square;
+        let intercept = mean_y - slope * mean_x;
+        let distance = |[x, y]: &[f64; 2]| (y - intercept - slope * x).abs();
+        Self {
+            intercept,
+            spread: points.iter().map(distance).fold(0.0, f64::max),
+            slope,
+        }
+    }
+
+    /// Returns the value that the line gives.
+    #[must_use]
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
--- /dev/null
+++ b/crates/bench/src/membership_fleet.rs
@@ -0,0 +1,255 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant, SystemTime},
+};
+
+use medlarspool_membership::{
+    Member, MemberState, MembershipAction, MembershipEvent, MembershipSettings, SeedRow,
+    UpstreamAnnouncement,
+};
+use medlarspool_proto::FleetKey;
+use medlarspool_types::{Address, Incarnation, InstanceId, ServiceName};
+
+use crate::{membership_node::MembershipNode, membership_traffic::MembershipTraffic};
+
+/// How long the loop rests between two rounds over all sockets.
+const REST: Duration = Duration::from_millis(1);
+
+/// How often views are compared while agreement is waited for.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The availability zones that places are spread over.
+const ZONES: usize = 3;
+
+/// The services that upstreams are spread over.
+const SERVICES: usize = 8;
+
+/// The text from which the bench's fleet key is derived.
+const KEY: &str = "membership bench key";
+
+/// A change of a member's state in the view of one daemon.
+pub struct MembershipSight {
+    /// When it was seen.
+    pub at: Instant,
+    /// How the member stands.
+    pub state: MemberState,
+    /// The member's place.
+    pub subject: usize,
+    /// The place of the daemon that saw it.
+    pub viewer: usize,
+}
+
+/// Daemons' memberships on loopback sockets, polled by one thread.
+pub struct MembershipFleet {
+    /// The nodes by place; an empty place is a dead daemon.
+    pub nodes: Vec<Option<MembershipNode>>,
+    /// The changes of state seen.
+    pub sights: Vec<MembershipSight>,
+    /// Reads of seed rows.
+    pub store_reads: usize,
+    /// Writes of seed rows.
+    pub store_writes: usize,
+    first_port: u16,
+    key: FleetKey,
+    places: BTreeMap<InstanceId, usize>,
+    random: fastrand::Rng,
+    rows: BTreeMap<(String, u8), SeedRow>,
+    started: Instant,
+}
+
+impl MembershipFleet {
+    /// Creates a fleet of empty places whose ports follow on the first.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the bench's own key is refused.
+    #[must_use]
+    pub fn new(size: usize, first_port: u16, seed: u64) -> Self {
+        let places = (0..size).map(|place| (instance(place), place)).collect();
+        Self {
+            first_port,
+            key: FleetKey::derive(KEY).expect("the bench's key is long enough"),
+            nodes: (0..size).map(|_| None).collect(),
+            places,
+            random: fastrand::Rng::with_seed(seed),
+            rows: BTreeMap::new(),
+            sights: Vec::new(),
+            started: Instant::now(),
+            store_reads: 0,
+            store_writes: 0,
+        }
+    }
+
+    /// Returns whether all nodes see just the running ones as living.
+    #[must_use]
+    pub fn agrees(&self) -> bool {
+        let running = self.nodes.iter().flatten().count();
+        let mut views = self.nodes.iter().flatten();
+        let Some(first) = views.next() else {
+            return true;
+        };
+        let digest = first.core.view_digest();
+        let is_true = self.nodes.iter().flatten().all(|node| {
+            let member = first.core.member(node.instance());
+            member.is_some_and(|member| member.state.is_living())
+        });
+        is_true
+            && first.core.living() == running
+            && views.all(|node| node.core.view_digest() == digest)
+    }
+
+    /// Starts a life at a place, with an upstream and an interest in two services.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the bench's own names are refused.
+    pub fn begin(&mut self, place: usize) {
+        let address = self.address(place);
+        let zone = place % ZONES;
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let micros = now.unwrap_or_default().as_micros();
+        let member = Member {
+            availability_zone: format!("region-1-zone-{zone}").parse().expect("a zone"),
+            call_address: address,
+            control_address: address,
+            incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
+            instance: instance(place),
+            region: "region-1".parse().expect("a region"),
+        };
+        let settings = MembershipSettings::default();
+        let seed = self.random.u64(..);
+        self.nodes[place] = Some(MembershipNode::begin(member, settings, &self.key, seed));
+        let upstream = UpstreamAnnouncement {
+            cold: false,
+            generation: 1,
+            service: service(place),
+            slots: 6,
+        };
+        self.event(place, MembershipEvent::UpstreamAnnounced(upstream));
+        self.event(place, MembershipEvent::InterestBegan(service(place + 1)));
+    }
+
+    /// Ends a life without a word.
+    pub fn crash(&mut self, place: usize) {
+        self.nodes[place] = None;
+    }
+
+    /// Hands an event to a node.
+    pub fn event(&mut self, place: usize, event: MembershipEvent) {
+        let Some(node) = self.nodes[place].as_mut() else {
+            return;
+        };
+        let actions = node.event(event);
+        self.act(place, actions);
+    }
+
+    /// Drops a share of all datagrams from now on.
+    pub fn lose(&mut self, percent: u32) {
+        for node in self.nodes.iter_mut().flatten() {
+            node.lost_percent = percent;
+        }
+    }
+
+    /// Returns whether any node still has news to send.
+    #[must_use]
+    pub fn is_spreading(&self) -> bool {
+        let mut nodes = self.nodes.iter().flatten();
+        nodes.any(|node| node.core.pending_news() > 0)
+    }
+
+    /// Lets the fleet run for a time.
+    pub fn run(&mut self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.poll();
+        }
+    }
+
+    /// Lets the fleet run until views agree and returns the time that took, if they do in time.
+    pub fn run_until_agreed(&mut self, limit: Duration) -> Option<Duration> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            self.run(COMPARE_INTERVAL);
+            if self.agrees() {
+                return Some(started.elapsed());
+            }
+        }
+        None
+    }
+
+    /// Returns the traffic of all running nodes by place.
+    #[must_use]
+    pub fn traffic(&self) -> Vec<(usize, MembershipTraffic)> {
+        let running = self.nodes.iter().enumerate();
+        running
+            .filter_map(|(place, node)| node.as_ref().map(|node| (place, node.traffic)))
+            .collect()
+    }
+
+    fn act(&mut self, place: usize, actions: Vec<MembershipAction>) {
+        for action in actions {
+            match action {
+                MembershipAction::MemberChanged {
+                    instance, state, ..
+                } => self.sights.push(MembershipSight {
+                    at: Instant::now(),
+                    state,
+                    subject: self.places[&instance],
+                    viewer: place,
+                }),
+                MembershipAction::ReadSeedRows { availability_zone } => {
+                    self.store_reads += 1;
+                    let zone = availability_zone.as_ref().map(ToString::to_string);
+                    let rows = self.rows.values().filter(|row| {
+                        let held = row.availability_zone.as_str();
+                        zone.as_ref().is_none_or(|zone| zone == held)
+                    });
+                    let rows = rows.cloned().collect();
+                    let event = MembershipEvent::SeedRowsRead {
+                        availability_zone,
+                        rows,
+                        system_now: SystemTime::UNIX_EPOCH + self.started.elapsed(),
+                    };
+                    self.event(place, event);
+                }
+                MembershipAction::Send { .. } | MembershipAction::ServiceChanged { .. } => {}
+                MembershipAction::WriteSeedRow { replaces, row } => {
+                    self.store_writes += 1;
+                    let key = (row.availability_zone.to_string(), row.slot);
+                    if self.rows.get(&key) == replaces.as_ref() {
+                        self.rows.insert(key, row);
+                    }
+                }
+            }
+        }
+    }
+
+    fn address(&self, place: usize) -> Address {
+        let offset = u16::try_from(place).unwrap_or(u16::MAX);
+        Address::from(([127, 0, 0, 1], self.first_port + offset))
+    }
+
+    fn poll(&mut self) {
+        let now = Instant::now();
+        for place in 0..self.nodes.len() {
+            let Some(node) = self.nodes[place].as_mut() else {
+                continue;
+            };
+            if node.is_awake(now) {
+                let actions = node.poll();
+                self.act(place, actions);
+            }
+        }
+        std::thread::sleep(REST);
+    }
+}
+
+fn instance(place: usize) -> InstanceId {
+    let name = format!("i-{place:012}");
+    name.parse().expect("the name is an instance's")
+}
+
+fn service(place: usize) -> ServiceName {
+    let name = format!("service-{}", place % SERVICES);
+    name.parse().expect("the name is a service's")
+}
--- /dev/null
+++ b/crates/bench/src/membership_node.rs
@@ -0,0 +1,139 @@
+use std::{
+    io::ErrorKind,
+    net::UdpSocket,
+    time::{Duration, Instant},
+};
+
+use medlarspool_membership::{
+    Member, Membership, MembershipAction, MembershipEvent, MembershipSettings, Message,
+};
+use medlarspool_proto::{Datagram, FleetKey, MembershipPayload};
+use medlarspool_types::{Address, ConfigHead, InstanceId};
+
+use crate::membership_traffic::MembershipTraffic;
+
+/// The largest datagram read, in bytes.
+const READ_BYTES: usize = 2_048;
+
+/// One daemon's membership on a UDP socket of its own.
+pub struct MembershipNode {
+    /// The core.
+    pub core: Membership,
+    /// The share of datagrams that are dropped before they are sent, in percent.
+    pub lost_percent: u32,
+    /// When the node goes on after a pause, if it is paused.
+    pub paused_until: Option<Instant>,
+    /// What was sent and received, and how long that took.
+    pub traffic: MembershipTraffic,
+    key: FleetKey,
+    random: fastrand::Rng,
+    socket: UdpSocket,
+}
+
+impl MembershipNode {
+    /// Starts a life at an address on loopback.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address can't be bound, because the bench then measures nothing.
+    #[must_use]
+    pub fn begin(member: Member, settings: MembershipSettings, key: &FleetKey, seed: u64) -> Self {
+        let socket = UdpSocket::bind(member.control_address).expect("bind a loopback socket");
+        socket.set_nonblocking(true).expect("set non-blocking");
+        Self {
+            core: Membership::new(settings, member, seed, Instant::now()),
+            key: key.clone(),
+            lost_percent: 0,
+            paused_until: None,
+            random: fastrand::Rng::with_seed(seed),
+            socket,
+            traffic: MembershipTraffic::default(),
+        }
+    }
+
+    /// Hands an event to the core, sends what it asks for and returns its other actions.
+    pub fn event(&mut self, event: MembershipEvent) -> Vec<MembershipAction> {
+        let started = Instant::now();
+        let mut actions = Vec::new();
+        self.core.handle(started, event, &mut actions);
+        actions.retain(|action| match action {
+            MembershipAction::Send { address, message } => {
+                self.send(*address, message);
+                false
+            }
+            _ => true,
+        });
+        self.traffic.work += started.elapsed();
+        actions
+    }
+
+    /// Returns whether the node runs and is not paused.
+    pub fn is_awake(&mut self, now: Instant) -> bool {
+        if self.paused_until.is_some_and(|until| until <= now) {
+            self.paused_until = None;
+        }
+        self.paused_until.is_none()
+    }
+
+    /// Reads what has arrived and does what has come due.
+    pub fn poll(&mut self) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        let mut buffer = [0; READ_BYTES];
+        loop {
+            let started = Instant::now();
+            let (bytes, address) = match self.socket.recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => continue,
+            };
+            let event = self.read(&buffer[..bytes], address);
+            self.traffic.work += started.elapsed();
+            if let Some(event) = event {
+                actions.append(&mut self.event(event));
+            }
+        }
+        if self.core.next_wakeup() <= Instant::now() {
+            actions.append(&mut self.event(MembershipEvent::Tick));
+        }
+        actions
+    }
+
+    /// Pauses the node; what arrives meanwhile waits in the socket.
+    pub fn pause(&mut self, duration: Duration) {
+        self.paused_until = Some(Instant::now() + duration);
+    }
+
+    /// Returns the instance of the node.
+    #[must_use]
+    pub fn instance(&self) -> &InstanceId {
+        &self.core.me().member.instance
+    }
+
+    fn read(&mut self, bytes: &[u8], address: Address) -> Option<MembershipEvent> {
+        self.traffic.received_bytes += bytes.len() + Datagram::FRAMING_BYTES;
+        self.traffic.received_messages += 1;
+        let datagram = Datagram::open(&self.key, bytes).ok()?;
+        let message = Message::try_from(datagram.membership?).ok()?;
+        self.traffic.state_requests += usize::from(matches!(message, Message::StateRequest { .. }));
+        Some(MembershipEvent::Received {
+            address,
+            incarnation: medlarspool_types::Incarnation(datagram.incarnation),
+            message,
+            sender: datagram.sender.parse().ok()?,
+        })
+    }
+
+    fn send(&mut self, address: Address, message: &Message) {
+        let me = &self.core.me().member;
+        let mut datagram =
+            Datagram::from_sender(&me.instance, me.incarnation, ConfigHead::default());
+        datagram.membership = Some(MembershipPayload::from(message));
+        let sealed = datagram.seal(&self.key);
+        assert!(sealed.len() <= Datagram::MAX_BYTES, "{message:?}");
+        self.traffic.sent_bytes += sealed.len() + Datagram::FRAMING_BYTES;
+        self.traffic.sent_messages += 1;
+        if self.random.u32(..100) >= self.lost_percent {
+            let _ = self.socket.send_to(&sealed, address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/membership_pair.rs
@@ -0,0 +1,222 @@
+use std::time::{Duration, Instant};
+
+use medlarspool_membership::{
+    AnnouncedState, Announcement, Member, Membership, MembershipAction, MembershipEvent,
+    MembershipSettings, Message, UpstreamState, Word,
+};
+use medlarspool_proto::{Datagram, FleetKey, MembershipPayload};
+use medlarspool_types::{Address, ConfigHead, Incarnation, InstanceId};
+
+/// The step by which the pair's clock moves.
+const STEP: Duration = Duration::from_millis(10);
+
+/// The words in one datagram while views are filled.
+const WORDS_A_DATAGRAM: usize = 10;
+
+/// Two cores whose views differ, joined without loss, for counting what it costs to make them agree.
+///
+/// Every address leads to the other core, which stands for all members.
+pub struct MembershipPair {
+    /// Bytes sent by either for the second core's repair, framing included.
+    pub bytes: usize,
+    /// Datagrams sent by either for the second core's repair.
+    pub messages: usize,
+    /// The time since the start by the pair's clock.
+    pub elapsed: Duration,
+    cores: [Membership; 2],
+    key: FleetKey,
+    start: Instant,
+}
+
+impl MembershipPair {
+    /// Creates two cores of which the first knows `first` members and the second `second` of them.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the bench's own names are refused.
+    #[must_use]
+    pub fn new(first: usize, second: usize, settings: &MembershipSettings) -> Self {
+        let start = Instant::now();
+        let core = |place: usize, known: usize| {
+            let seed = u64::try_from(place).unwrap_or_default();
+            let me = member(place);
+            let mut core = Membership::new(settings.clone(), me, seed, start);
+            fill(&mut core, known, start);
+            core
+        };
+        Self {
+            bytes: 0,
+            cores: [core(0, first), core(1, second)],
+            elapsed: Duration::ZERO,
+            key: FleetKey::derive("membership bench key").expect("the key is long enough"),
+            messages: 0,
+            start,
+        }
+    }
+
+    /// Tells the second core of the first, so that it asks.
+    pub fn introduce(&mut self) {
+        let words = vec![Word::Announcement(self.cores[0].me().clone())];
+        self.deliver(0, 1, Message::Gossip { words });
+    }
+
+    /// Lets the first core learn of more members, and counts anew from then on.
+    pub fn diverge(&mut self, members: usize) {
+        let now = self.now();
+        fill(&mut self.cores[0], members, now);
+        self.bytes = 0;
+        self.messages = 0;
+    }
+
+    /// Lets the second core ask until the views agree; returns whether they do in time.
+    pub fn run_until_agreed(&mut self, limit: Duration) -> bool {
+        while self.elapsed < limit {
+            if self.cores[0].view_digest() == self.cores[1].view_digest() {
+                return true;
+            }
+            self.elapsed += STEP;
+            for place in 0..2 {
+                if self.cores[place].next_wakeup() <= self.now() {
+                    self.event(place, MembershipEvent::Tick);
+                }
+            }
+        }
+        false
+    }
+
+    /// Returns the bytes that one exchange of the whole view takes.
+    #[must_use]
+    pub fn whole_view_bytes(&self) -> usize {
+        let words: Vec<Word> = self.cores[0]
+            .members()
+            .map(|member| Word::Announcement(member.announcement.clone()))
+            .collect();
+        let datagrams = words.chunks(WORDS_A_DATAGRAM);
+        datagrams
+            .map(|words| {
+                self.datagram_bytes(
+                    0,
+                    &Message::Gossip {
+                        words: words.to_vec(),
+                    },
+                )
+            })
+            .sum()
+    }
+
+    fn datagram_bytes(&self, from: usize, message: &Message) -> usize {
+        let me = &self.cores[from].me().member;
+        let mut datagram =
+            Datagram::from_sender(&me.instance, me.incarnation, ConfigHead::default());
+        datagram.membership = Some(MembershipPayload::from(message));
+        datagram.seal(&self.key).len() + Datagram::FRAMING_BYTES
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        let sender = &self.cores[from].me().member;
+        let event = MembershipEvent::Received {
+            address: sender.control_address,
+            incarnation: sender.incarnation,
+            message,
+            sender: sender.instance.clone(),
+        };
+        self.event(to, event);
+    }
+
+    fn event(&mut self, place: usize, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.cores[place].handle(now, event, &mut actions);
+        for action in actions {
+            if let MembershipAction::Send { message, .. } = action
+                && is_repair(&message)
+            {
+                if is_of_second(place, &message) {
+                    self.bytes += self.datagram_bytes(place, &message);
+                    self.messages += 1;
+                }
+                self.deliver(place, 1 - place, message);
+            }
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + self.elapsed
+    }
+}
+
+/// Fills a core's view with members from the place 1 on.
+///
+/// # Panics
+///
+/// Panics if the bench's own names are refused.
+pub fn fill(core: &mut Membership, members: usize, now: Instant) {
+    let places: Vec<usize> = (0..members).collect();
+    for places in places.chunks(WORDS_A_DATAGRAM) {
+        let words = places.iter().map(|place| {
+            Word::Announcement(Announcement {
+                member: member(*place),
+                sequence: 0,
+                service: None,
+                state: AnnouncedState::Alive,
+                upstream: UpstreamState::Absent,
+            })
+        });
+        let event = MembershipEvent::Received {
+            address: address(usize::MAX),
+            incarnation: Incarnation(1),
+            message: Message::Busy {
+                retry_after: Duration::ZERO,
+                words: words.collect(),
+            },
+            sender: "filler".parse().expect("a name"),
+        };
+        core.handle(now, event, &mut Vec::new());
+    }
+}
+
+/// Returns the member at a place of a fleet spread over 14 availability zones in 6 regions.
+///
+/// # Panics
+///
+/// Panics if the bench's own names are refused.
+#[must_use]
+pub fn member(place: usize) -> Member {
+    let instance: InstanceId = format!("i-{place:012}").parse().expect("a name");
+    Member {
+        availability_zone: format!("region-{}-zone-{}", place % 6, place % 14)
+            .parse()
+            .expect("a name"),
+        call_address: address(place),
+        control_address: address(place),
+        incarnation: Incarnation(1_700_000_000_000_000),
+        instance,
+        region: format!("region-{}", place % 6).parse().expect("a name"),
+    }
+}
+
+fn address(place: usize) -> Address {
+    let [.., c, d] = place.to_be_bytes();
+    Address::from(([127, 1, c, d], 7_000))
+}
+
+/// Returns whether a message belongs to the second core's repair and not to the first one's.
+fn is_of_second(place: usize, message: &Message) -> bool {
+    match message {
+        Message::DigestRequest { .. } | Message::StateRequest { .. } => place == 1,
+        Message::Gossip { .. } => true,
+        _ => place == 0,
+    }
+}
+
+fn is_repair(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Busy { .. }
+            | Message::DigestReply { .. }
+            | Message::DigestRequest { .. }
+            | Message::Gossip { .. }
+            | Message::StateReply { .. }
+            | Message::StateRequest { .. }
+    )
+}
--- a/crates/membership/src/detailing.rs
+++ b/crates/membership/src/detailing.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     MemberState, Membership, MembershipAction, Message, ServiceKey, UpstreamDetail, Word,
-    gossiping::ROOM_BYTES, interest::Interest, repair::jitter,
+    gossiping::ROOM_BYTES, interest::Interest, repair::jitter, word_room::WordRoom,
 };
 
 /// The details in one datagram.
@@ -174,7 +174,6 @@
 
     /// Returns the words of a service's living members, as many as fit one datagram.
     fn service_words(&self, key: ServiceKey) -> Vec<Word> {
-        let mut room_bytes = ROOM_BYTES;
         let mut words = Vec::new();
         for instance in self.view.service(key) {
             let is_living = self
@@ -182,13 +181,9 @@
                 .state(instance)
                 .is_some_and(MemberState::is_living);
             let word = self.view.announcement(instance).filter(|_| is_living);
-            let bytes = word.as_ref().map_or(0, Word::max_bytes);
-            if bytes > room_bytes {
-                break;
-            }
-            room_bytes -= bytes;
             words.extend(word);
         }
+        words.truncate(WordRoom::fitting(&words, ROOM_BYTES));
         words
     }
 }
--- a/crates/membership/src/gossip_queue.rs
+++ b/crates/membership/src/gossip_queue.rs
@@ -1,6 +1,6 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 
-use crate::{Word, topic::Topic};
+use crate::{Word, topic::Topic, word_room::WordRoom};
 
 /// The length from which each piece of ordinary news is sent fewer times; repair carries the rest.
 const CROWDED_TOPICS: usize = 64;
@@ -60,20 +60,17 @@
         members: usize,
         mut word_of: impl FnMut(&Topic) -> Option<Word>,
     ) -> Vec<Word> {
-        let mut room_bytes = room_bytes;
         let mut words = Vec::new();
         let mut taken = Vec::new();
         for (rank, topic) in &self.by_rank {
             if urgent_only && rank.ordinary {
                 break;
             }
-            let word = word_of(topic);
-            let bytes = word.as_ref().map_or(0, Word::max_bytes);
-            if bytes > room_bytes {
+            words.extend(word_of(topic));
+            if WordRoom::bytes_of(&words) > room_bytes {
+                words.pop();
                 break;
             }
-            room_bytes -= bytes;
-            words.extend(word);
             taken.push((*rank, topic.clone()));
         }
         self.count_transmits(taken, copies, members);
--- a/crates/membership/src/gossiping.rs
+++ b/crates/membership/src/gossiping.rs
@@ -2,7 +2,7 @@
 
 use medlarspool_types::Address;
 
-use crate::{Membership, MembershipAction, Message, Word, topic::Topic};
+use crate::{Membership, MembershipAction, Message, Word, topic::Topic, word_room::WordRoom};
 
 /// The bytes of words in a datagram of news: 1,200 less the envelope.
 pub(crate) const ROOM_BYTES: usize = 1_020;
@@ -75,7 +75,7 @@
     }
 
     fn spend(&mut self, words: &[Word], envelope_bytes: usize, copies: u32, now: Instant) {
-        let bytes = envelope_bytes + words.iter().map(Word::max_bytes).sum::<usize>();
+        let bytes = envelope_bytes + WordRoom::bytes_of(words);
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
         self.gossip_tokens.spend(now, bytes * copies);
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -45,6 +45,7 @@
 mod upstream_view;
 mod view;
 mod word;
+mod word_room;
 
 pub use crate::{
     accusation::Accusation, accusation_kind::AccusationKind, announced_state::AnnouncedState,
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -181,6 +181,12 @@
         self.view.living()
     }
 
+    /// Returns the number of pieces of news that are still to be sent.
+    #[must_use]
+    pub fn pending_news(&self) -> usize {
+        self.gossip.len()
+    }
+
     /// Returns when the core has something to do without any event.
     #[must_use]
     pub fn next_wakeup(&self) -> Instant {
--- a/crates/membership/src/membership_settings.rs
+++ b/crates/membership/src/membership_settings.rs
@@ -48,7 +48,7 @@
             lease: Duration::from_secs(3),
             lost_probe_interval: Duration::from_secs(5),
             pages_per_second: 8,
-            page_interval: Duration::from_millis(80),
+            page_interval: Duration::from_millis(100),
             probe_interval: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(400),
             relays: 3,
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -2,7 +2,7 @@
 
 use medlarspool_types::{Address, InstanceId, ServiceName};
 
-use crate::{Announcement, BucketSet, UpstreamDetail, Word};
+use crate::{Announcement, BucketSet, UpstreamDetail, Word, word_room::WordRoom};
 
 /// What daemons say to each other about membership; each fits one datagram.
 #[derive(Clone, Debug, PartialEq)]
@@ -106,7 +106,7 @@
             | Self::Busy { words, .. }
             | Self::Gossip { words }
             | Self::Ping { words, .. }
-            | Self::StateReply { words, .. } => words_bytes(words),
+            | Self::StateReply { words, .. } => WordRoom::bytes_of(words),
             Self::DetailReply {
                 details,
                 service,
@@ -114,20 +114,16 @@
             } => {
                 let instances = details.iter().map(|detail| detail.instance.as_str().len());
                 let details = details.len() * DETAIL_BYTES + instances.sum::<usize>();
-                details + service.as_str().len() + words_bytes(words)
+                details + service.as_str().len() + WordRoom::bytes_of(words)
             }
             Self::DetailRequest { service, .. } => service.as_str().len(),
             Self::DigestReply { buckets } => size_of_val(buckets.as_slice()),
             Self::DigestRequest { .. } | Self::Nack { .. } => 0,
             Self::PingRequest { subject, .. } => subject.as_str().len(),
             Self::StateRequest { announcement, .. } => {
-                Word::Announcement(announcement.clone()).max_bytes()
+                WordRoom::bytes_of(&[Word::Announcement(announcement.clone())])
             }
         };
         BASE_BYTES + rest
     }
 }
-
-fn words_bytes(words: &[Word]) -> usize {
-    words.iter().map(Word::max_bytes).sum()
-}
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -188,6 +188,9 @@
             self.health.degrade();
         }
         match probe.kind {
+            ProbeKind::First if self.suspicions.contains_key(&probe.instance) => {
+                self.suspect(&probe.instance, self.accuser(), now, actions);
+            }
             ProbeKind::First => self.prober.doubt(&probe.instance),
             ProbeKind::Last => {
                 self.counters.deaths_found += 1;
@@ -226,7 +229,7 @@
     ) {
         let is_suspect = self.suspicions.contains_key(instance);
         match kind {
-            ProbeKind::First | ProbeKind::Second if is_suspect => return,
+            ProbeKind::Second if is_suspect => return,
             ProbeKind::Last => self.prober.give_up(instance),
             _ if self.prober.is_probing(instance) => return,
             _ => {}
--- a/crates/membership/src/receiving.rs
+++ b/crates/membership/src/receiving.rs
@@ -35,7 +35,9 @@
                 self.receive_detail_request(address, digest, &service, actions);
             }
             Message::DigestReply { buckets } => self.receive_digest_reply(address, &buckets, now),
-            Message::DigestRequest { root } => self.receive_digest_request(address, root, actions),
+            Message::DigestRequest { root } => {
+                self.receive_digest_request(address, root, now, actions);
+            }
             Message::Gossip { words } => {
                 self.apply_words(words, true, now, actions);
             }
--- a/crates/membership/src/repair.rs
+++ b/crates/membership/src/repair.rs
@@ -2,7 +2,7 @@
 
 use medlarspool_types::Address;
 
-use crate::BucketSet;
+use crate::{BucketSet, Word};
 
 /// The first wait before views are compared again, and after each difference.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
@@ -24,6 +24,8 @@
     interval: Duration,
     pub(crate) next_digest: Instant,
     pub(crate) next_page: Instant,
+    /// The words of a page whose last part has not come yet.
+    pub(crate) page: Vec<Word>,
     /// The peer whose view differs, or nothing if any will do.
     pub(crate) peer: Option<Address>,
     pub(crate) wanted: BucketSet,
@@ -37,6 +39,7 @@
             interval: MIN_INTERVAL,
             next_digest: now + MIN_INTERVAL,
             next_page: now,
+            page: Vec::new(),
             peer: None,
             wanted: BucketSet::ALL,
         }
@@ -49,6 +52,12 @@
         wait
     }
 
+    /// Compares views soon, because somebody's differs.
+    pub(crate) fn hasten(&mut self, now: Instant, random: &mut fastrand::Rng) {
+        self.interval = MIN_INTERVAL;
+        self.next_digest = self.next_digest.min(now + jitter(MIN_INTERVAL, random));
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.wanted.is_empty()
     }
--- a/crates/membership/src/repairing.rs
+++ b/crates/membership/src/repairing.rs
@@ -5,6 +5,7 @@
 use crate::{
     AccusationKind, Announcement, BucketSet, MemberState, Membership, MembershipAction, Message,
     Word, gossiping::ROOM_BYTES, merge::as_suspicion, record::Record, repair::jitter,
+    word_room::WordRoom,
 };
 
 /// The other members named to a daemon that is told to come back later.
@@ -74,11 +75,13 @@
         &mut self,
         address: Address,
         root: u64,
+        now: Instant,
         actions: &mut Vec<MembershipAction>,
     ) {
         let buckets = if root == self.view.root() {
             Vec::new()
         } else {
+            self.repair.hasten(now, &mut self.random);
             self.view.bucket_digests()
         };
         self.send(address, Message::DigestReply { buckets }, actions);
@@ -92,6 +95,11 @@
         now: Instant,
         actions: &mut Vec<MembershipAction>,
     ) {
+        self.repair.page.extend(words);
+        if given.is_empty() {
+            return;
+        }
+        let words = std::mem::take(&mut self.repair.page);
         let given = given.without(&BucketSet::ALL.without(&self.repair.wanted));
         let newer = self.newer_than(&given, &words);
         if !newer.is_empty() {
@@ -130,7 +138,7 @@
         self.send(address, Message::Busy { retry_after, words }, actions);
     }
 
-    /// Gives as many whole buckets as fit, or one bucket in several datagrams.
+    /// Gives as many whole buckets as fit a datagram, or one bucket in several.
     fn give_page(
         &mut self,
         address: Address,
@@ -140,21 +148,27 @@
         self.counters.state_pages_given += 1;
         let mut given = BucketSet::default();
         let mut words = Vec::new();
-        let mut room_bytes = ROOM_BYTES;
         for bucket in wanted.iter() {
-            let mut more = self.bucket_words(bucket);
-            let bytes: usize = more.iter().map(Word::max_bytes).sum();
-            if bytes > room_bytes && !given.is_empty() {
+            let count = words.len();
+            words.append(&mut self.bucket_words(bucket));
+            let is_full = WordRoom::bytes_of(&words) > ROOM_BYTES;
+            if is_full && !given.is_empty() {
+                words.truncate(count);
                 break;
             }
-            while more.iter().map(Word::max_bytes).sum::<usize>() > ROOM_BYTES {
-                let rest = more.split_off(split_position(&more));
-                self.send(address, Message::Gossip { words: more }, actions);
-                more = rest;
-            }
-            words.append(&mut more);
             given.insert(bucket);
-            room_bytes = room_bytes.saturating_sub(bytes);
+            if is_full {
+                break;
+            }
+        }
+        while WordRoom::bytes_of(&words) > ROOM_BYTES {
+            let rest = words.split_off(WordRoom::fitting(&words, ROOM_BYTES));
+            let part = Message::StateReply {
+                buckets: BucketSet::default(),
+                words,
+            };
+            self.send(address, part, actions);
+            words = rest;
         }
         let reply = Message::StateReply {
             buckets: given,
@@ -178,17 +192,16 @@
     /// Returns what this daemon knows better than a page, as much as fits one datagram.
     fn newer_than(&self, given: &BucketSet, page: &[Word]) -> Vec<Word> {
         let mut newer = Vec::new();
-        let mut room_bytes = ROOM_BYTES;
         for word in given.iter().flat_map(|bucket| self.bucket_words(bucket)) {
             let is_newer = match page_word(page, word.instance()) {
                 Some(theirs) => overrules(&word, theirs),
                 None => matches!(word, Word::Announcement(_)),
             };
-            if is_newer && word.max_bytes() <= room_bytes {
-                room_bytes -= word.max_bytes();
+            if is_newer {
                 newer.push(word);
             }
         }
+        newer.truncate(WordRoom::fitting(&newer, ROOM_BYTES));
         newer
     }
 
@@ -206,6 +219,7 @@
 
     fn request_page(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
         self.repair.next_page = now + self.repair.back_off(&mut self.random);
+        self.repair.page.clear();
         let drawn = self.draw_peers(1).first().copied();
         let contact = self.random.choice(&self.repair.contacts).copied();
         let Some(address) = self.repair.peer.take().or(drawn).or(contact) else {
@@ -236,13 +250,3 @@
 fn page_word<'page>(page: &'page [Word], instance: &InstanceId) -> Option<&'page Word> {
     page.iter().find(|word| word.instance() == instance)
 }
-
-/// Returns how many words fill one datagram, at least one.
-fn split_position(words: &[Word]) -> usize {
-    let mut bytes = 0;
-    let fitting = words.iter().take_while(|word| {
-        bytes += word.max_bytes();
-        bytes <= ROOM_BYTES
-    });
-    fitting.count().max(1)
-}
--- /dev/null
+++ b/crates/membership/src/word_room.rs
@@ -0,0 +1,111 @@
+use crate::{Announcement, Word};
+
+/// The bytes of an announcement on the wire beside its instance, numbers and addresses.
+const ANNOUNCEMENT_BYTES: usize = 27;
+
+/// The bytes of an accusation on the wire beside its instance and incarnation.
+const ACCUSATION_BYTES: usize = 12;
+
+/// The bytes of an availability zone in a datagram's list of them, beside the two names.
+const ZONE_BYTES: usize = 6;
+
+/// What is left of a datagram while words are put into it.
+///
+/// Each availability zone is named once in a datagram, so that its cost depends on the others.
+#[derive(Debug)]
+pub(crate) struct WordRoom<'words> {
+    left_bytes: usize,
+    zones: Vec<(&'words str, &'words str)>,
+}
+
+impl<'words> WordRoom<'words> {
+    pub(crate) fn new(bytes: usize) -> Self {
+        Self {
+            left_bytes: bytes,
+            zones: Vec::new(),
+        }
+    }
+
+    /// Takes the room of a word if there is enough.
+    pub(crate) fn take(&mut self, word: &'words Word) -> bool {
+        let bytes = match word {
+            Word::Accusation(accusation) => {
+                ACCUSATION_BYTES
+                    + accusation.instance.as_str().len()
+                    + varint_bytes(accusation.incarnation.0)
+            }
+            Word::Announcement(announcement) => {
+                announcement_bytes(announcement) + self.zone_bytes(announcement)
+            }
+        };
+        let fits = bytes <= self.left_bytes;
+        if fits {
+            self.left_bytes -= bytes;
+            if let Word::Announcement(announcement) = word {
+                self.name_zone(announcement);
+            }
+        }
+        fits
+    }
+
+    /// Returns the bytes that all given words take at the most.
+    pub(crate) fn bytes_of(words: &'words [Word]) -> usize {
+        let mut room = Self::new(usize::MAX);
+        for word in words {
+            room.take(word);
+        }
+        usize::MAX - room.left_bytes
+    }
+
+    /// Returns how many of the first words fit a datagram, one at the least.
+    pub(crate) fn fitting(words: &'words [Word], bytes: usize) -> usize {
+        let mut room = Self::new(bytes);
+        let fitting = words.iter().take_while(|word| room.take(word));
+        fitting.count().max(1)
+    }
+
+    fn name_zone(&mut self, announcement: &'words Announcement) {
+        let zone = zone(announcement);
+        if !self.zones.contains(&zone) {
+            self.zones.push(zone);
+        }
+    }
+
+    fn zone_bytes(&self, announcement: &Announcement) -> usize {
+        let zone = zone(announcement);
+        if self.zones.contains(&zone) {
+            return 0;
+        }
+        ZONE_BYTES + zone.0.len() + zone.1.len()
+    }
+}
+
+fn announcement_bytes(announcement: &Announcement) -> usize {
+    let member = &announcement.member;
+    let control = ip_bytes(member.control_address);
+    let call = if member.call_address.ip() == member.control_address.ip() {
+        0
+    } else {
+        ip_bytes(member.call_address)
+    };
+    ANNOUNCEMENT_BYTES
+        + member.instance.as_str().len()
+        + varint_bytes(member.incarnation.0)
+        + varint_bytes(announcement.sequence)
+        + control
+        + call
+}
+
+fn ip_bytes(address: medlarspool_types::Address) -> usize {
+    if address.is_ipv4() { 6 } else { 18 }
+}
+
+fn varint_bytes(value: u64) -> usize {
+    let bits = u64::BITS - value.leading_zeros();
+    usize::try_from(bits.div_ceil(7)).unwrap_or_default().max(1)
+}
+
+fn zone(announcement: &Announcement) -> (&str, &str) {
+    let member = &announcement.member;
+    (member.availability_zone.as_str(), member.region.as_str())
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -4,10 +4,20 @@
 
 mod call_reply;
 mod call_request;
+mod datagram;
 mod fate_request;
 mod fleet_key;
 mod header;
 mod load_report;
+mod membership_accusation;
+mod membership_announcement;
+mod membership_detail;
+mod membership_kind;
+mod membership_payload;
+mod membership_requests;
+mod membership_state;
+mod membership_words;
+mod membership_zone;
 mod peer_client;
 mod peer_handler;
 mod peer_server;
@@ -17,10 +27,32 @@
 mod wire_verdict;
 
 pub use crate::{
-    call_reply::CallReply, call_request::CallRequest, fate_request::FateRequest,
-    fleet_key::FleetKey, header::Header, load_report::LoadReport, peer_client::PeerClient,
-    peer_handler::PeerHandler, peer_server::PeerServer, proto_error::ProtoError, refusal::Refusal,
-    wire_head::WireHead, wire_verdict::WireVerdict,
+    call_reply::CallReply,
+    call_request::CallRequest,
+    datagram::Datagram,
+    fate_request::FateRequest,
+    fleet_key::FleetKey,
+    header::Header,
+    load_report::LoadReport,
+    membership_accusation::WireAccusation,
+    membership_announcement::WireAnnouncement,
+    membership_detail::WireDetail,
+    membership_kind::MembershipKind,
+    membership_payload::MembershipPayload,
+    membership_requests::{
+        WireAck, WireBusy, WireDetailReply, WireDetailRequest, WireDigests, WirePing,
+        WirePingRequest, WireStateReply, WireStateRequest,
+    },
+    membership_state::{WireAccusationKind, WireAnnouncedState, WireUpstreamState},
+    membership_words::WireWords,
+    membership_zone::WireZone,
+    peer_client::PeerClient,
+    peer_handler::PeerHandler,
+    peer_server::PeerServer,
+    proto_error::ProtoError,
+    refusal::Refusal,
+    wire_head::WireHead,
+    wire_verdict::WireVerdict,
 };
 
 /// The largest message that a daemon takes over gRPC, in bytes.
--- /dev/null
+++ b/crates/proto/src/membership_announcement.rs
@@ -0,0 +1,134 @@
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+use medlarspool_membership::{Announcement, Member, ServiceKey};
+use medlarspool_types::{Address, Incarnation};
+use prost::Message;
+
+use crate::{
+    ProtoError, WireAnnouncedState, WireUpstreamState, WireZone, membership_words::read_text,
+};
+
+/// An [`Announcement`] on the wire.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub struct WireAnnouncement {
+    /// The IP address for calls, 4 or 16 bytes, or nothing if it is the one for datagrams.
+    #[prost(bytes = "vec", tag = "1")]
+    pub call_ip: Vec<u8>,
+    /// The port for calls.
+    #[prost(uint32, tag = "2")]
+    pub call_port: u32,
+    /// The IP address for datagrams, 4 or 16 bytes.
+    #[prost(bytes = "vec", tag = "3")]
+    pub control_ip: Vec<u8>,
+    /// The port for datagrams.
+    #[prost(uint32, tag = "4")]
+    pub control_port: u32,
+    /// The daemon's life.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
+    /// The daemon's instance.
+    #[prost(string, tag = "6")]
+    pub instance: String,
+    /// Counts the announcements of this life.
+    #[prost(uint64, tag = "7")]
+    pub sequence: u64,
+    /// The hash of the upstream's service.
+    #[prost(fixed32, optional, tag = "8")]
+    pub service: Option<u32>,
+    /// Whether the daemon serves.
+    #[prost(enumeration = "WireAnnouncedState", tag = "9")]
+    pub state: i32,
+    /// Whether the upstream serves.
+    #[prost(enumeration = "WireUpstreamState", tag = "10")]
+    pub upstream: i32,
+    /// The place of the availability zone in the datagram's list of them.
+    #[prost(uint32, tag = "11")]
+    pub zone: u32,
+}
+
+impl WireAnnouncement {
+    /// Returns the announcement, whose availability zone it adds to a list unless it is there.
+    pub(crate) fn write(announcement: &Announcement, zones: &mut Vec<WireZone>) -> Self {
+        let member = &announcement.member;
+        let (call, control) = (member.call_address, member.control_address);
+        let call_ip = if call.ip() == control.ip() {
+            Vec::new()
+        } else {
+            write_ip(call.ip())
+        };
+        Self {
+            call_ip,
+            call_port: call.port().into(),
+            control_ip: write_ip(control.ip()),
+            control_port: control.port().into(),
+            incarnation: member.incarnation.0,
+            instance: member.instance.to_string(),
+            sequence: announcement.sequence,
+            service: announcement.service.map(|service| service.0),
+            state: WireAnnouncedState::from(announcement.state).into(),
+            upstream: WireUpstreamState::from(announcement.upstream).into(),
+            zone: write_zone(member, zones),
+        }
+    }
+
+    /// Returns the announcement in its typed form.
+    pub(crate) fn read(self, zones: &[WireZone]) -> Result<Announcement, ProtoError> {
+        let zone = usize::try_from(self.zone)
+            .ok()
+            .and_then(|zone| zones.get(zone));
+        let zone = zone.ok_or_else(|| ProtoError::Member(self.zone.to_string()))?;
+        let call_ip = if self.call_ip.is_empty() {
+            &self.control_ip
+        } else {
+            &self.call_ip
+        };
+        Ok(Announcement {
+            member: Member {
+                availability_zone: read_text(zone.availability_zone.clone())?,
+                call_address: read_address(call_ip, self.call_port)?,
+                control_address: read_address(&self.control_ip, self.control_port)?,
+                incarnation: Incarnation(self.incarnation),
+                instance: read_text(self.instance.clone())?,
+                region: read_text(zone.region.clone())?,
+            },
+            sequence: self.sequence,
+            service: self.service.map(ServiceKey),
+            state: self.state().into(),
+            upstream: self.upstream().into(),
+        })
+    }
+}
+
+/// Reads an IP address of 4 or 16 bytes and a port.
+pub(crate) fn read_address(ip: &[u8], port: u32) -> Result<Address, ProtoError> {
+    let port = u16::try_from(port).map_err(|_| ProtoError::Member(port.to_string()))?;
+    let v4 = <[u8; 4]>::try_from(ip).map(|bytes| IpAddr::from(Ipv4Addr::from(bytes)));
+    let v6 = || <[u8; 16]>::try_from(ip).map(|bytes| IpAddr::from(Ipv6Addr::from(bytes)));
+    let ip = v4
+        .or_else(|_| v6())
+        .map_err(|_| ProtoError::Member(format!("{ip:?}")))?;
+    Ok(Address::new(ip, port))
+}
+
+/// Returns the bytes of an IP address.
+pub(crate) fn write_ip(ip: IpAddr) -> Vec<u8> {
+    match ip {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    }
+}
+
+fn write_zone(member: &Member, zones: &mut Vec<WireZone>) -> u32 {
+    let is_zone = |zone: &WireZone| {
+        zone.availability_zone == member.availability_zone.as_str()
+            && zone.region == member.region.as_str()
+    };
+    let position = zones.iter().position(is_zone).unwrap_or_else(|| {
+        zones.push(WireZone {
+            availability_zone: member.availability_zone.to_string(),
+            region: member.region.to_string(),
+        });
+        zones.len() - 1
+    });
+    u32::try_from(position).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/proto/src/membership_detail.rs
@@ -0,0 +1,56 @@
+use medlarspool_membership::UpstreamDetail;
+use medlarspool_types::Incarnation;
+use prost::Message;
+
+use crate::{ProtoError, membership_words::read_text};
+
+/// An [`UpstreamDetail`] on the wire.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub struct WireDetail {
+    /// Whether the upstream still warms up.
+    #[prost(bool, tag = "1")]
+    pub cold: bool,
+    /// Counts the lives of the upstream beside its daemon.
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+    /// The life of the daemon that says so.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// The daemon beside the upstream.
+    #[prost(string, tag = "4")]
+    pub instance: String,
+    /// Counts the changes of this detail.
+    #[prost(uint64, tag = "5")]
+    pub sequence: u64,
+    /// The requests that the upstream runs at once.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+}
+
+impl From<&UpstreamDetail> for WireDetail {
+    fn from(detail: &UpstreamDetail) -> Self {
+        Self {
+            cold: detail.cold,
+            generation: detail.generation,
+            incarnation: detail.incarnation.0,
+            instance: detail.instance.to_string(),
+            sequence: detail.sequence,
+            slots: detail.slots,
+        }
+    }
+}
+
+impl TryFrom<WireDetail> for UpstreamDetail {
+    type Error = ProtoError;
+
+    fn try_from(wire: WireDetail) -> Result<Self, Self::Error> {
+        Ok(Self {
+            cold: wire.cold,
+            generation: wire.generation,
+            incarnation: Incarnation(wire.incarnation),
+            instance: read_text(wire.instance)?,
+            sequence: wire.sequence,
+            slots: wire.slots,
+        })
+    }
+}
--- /dev/null
+++ b/crates/proto/src/membership_payload.rs
@@ -0,0 +1,173 @@
+use std::time::Duration;
+
+use medlarspool_membership::{BucketSet, Message as MembershipMessage, UpstreamDetail, Word};
+use prost::Message;
+
+use crate::{
+    MembershipKind, ProtoError, WireAck, WireBusy, WireDetail, WireDetailReply, WireDetailRequest,
+    WireDigests, WirePing, WirePingRequest, WireStateReply, WireStateRequest, WireWords,
+    membership_announcement::{read_address, write_ip},
+    membership_words::read_text,
+};
+
+/// What one datagram says about members. See `docs/design/membership.md`.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub struct MembershipPayload {
+    /// The message.
+    #[prost(
+        oneof = "MembershipKind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+    )]
+    pub kind: Option<MembershipKind>,
+}
+
+impl From<&MembershipMessage> for MembershipPayload {
+    fn from(message: &MembershipMessage) -> Self {
+        Self {
+            kind: Some(write_kind(message)),
+        }
+    }
+}
+
+impl TryFrom<MembershipPayload> for MembershipMessage {
+    type Error = ProtoError;
+
+    fn try_from(payload: MembershipPayload) -> Result<Self, Self::Error> {
+        read_kind(payload.kind.ok_or(ProtoError::PayloadMissing)?)
+    }
+}
+
+fn read_buckets(words: &[u64]) -> Result<BucketSet, ProtoError> {
+    let words = <[u64; 4]>::try_from(words);
+    words
+        .map(BucketSet::from_words)
+        .map_err(|_| ProtoError::Member("buckets".into()))
+}
+
+fn read_details(details: Vec<WireDetail>) -> Result<Vec<UpstreamDetail>, ProtoError> {
+    details.into_iter().map(UpstreamDetail::try_from).collect()
+}
+
+fn read_kind(kind: MembershipKind) -> Result<MembershipMessage, ProtoError> {
+    Ok(match kind {
+        MembershipKind::Ack(ack) => MembershipMessage::Ack {
+            number: ack.number,
+            relayed: ack.relayed,
+            words: WireWords::read(ack.words)?,
+        },
+        MembershipKind::Busy(busy) => MembershipMessage::Busy {
+            retry_after: Duration::from_millis(busy.retry_after_ms),
+            words: WireWords::read(busy.words)?,
+        },
+        MembershipKind::DetailReply(reply) => MembershipMessage::DetailReply {
+            details: read_details(reply.details)?,
+            service: read_text(reply.service)?,
+            words: WireWords::read(reply.words)?,
+        },
+        MembershipKind::DetailRequest(request) => MembershipMessage::DetailRequest {
+            digest: request.digest,
+            service: read_text(request.service)?,
+        },
+        MembershipKind::DigestReply(digests) => MembershipMessage::DigestReply {
+            buckets: digests.buckets,
+        },
+        MembershipKind::DigestRequest(root) => MembershipMessage::DigestRequest { root },
+        MembershipKind::Gossip(words) => MembershipMessage::Gossip {
+            words: WireWords::read(Some(words))?,
+        },
+        MembershipKind::Nack(number) => MembershipMessage::Nack { number },
+        MembershipKind::Ping(ping) => MembershipMessage::Ping {
+            number: ping.number,
+            words: WireWords::read(ping.words)?,
+        },
+        MembershipKind::PingRequest(request) => MembershipMessage::PingRequest {
+            address: read_address(&request.ip, request.port)?,
+            number: request.number,
+            subject: read_text(request.subject)?,
+        },
+        MembershipKind::StateReply(reply) => MembershipMessage::StateReply {
+            buckets: read_buckets(&reply.buckets)?,
+            words: WireWords::read(reply.words)?,
+        },
+        MembershipKind::StateRequest(request) => read_state_request(request)?,
+    })
+}
+
+fn read_state_request(request: WireStateRequest) -> Result<MembershipMessage, ProtoError> {
+    let words = WireWords::read(request.announcement)?;
+    let Some(Word::Announcement(announcement)) = words.into_iter().next() else {
+        return Err(ProtoError::PayloadMissing);
+    };
+    Ok(MembershipMessage::StateRequest {
+        announcement,
+        buckets: read_buckets(&request.buckets)?,
+    })
+}
+
+fn write_kind(message: &MembershipMessage) -> MembershipKind {
+    match message {
+        MembershipMessage::Ack {
+            number,
+            relayed,
+            words,
+        } => MembershipKind::Ack(WireAck {
+            number: *number,
+            relayed: *relayed,
+            words: WireWords::write(words),
+        }),
+        MembershipMessage::Busy { retry_after, words } => MembershipKind::Busy(WireBusy {
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+            words: WireWords::write(words),
+        }),
+        MembershipMessage::DetailReply {
+            details,
+            service,
+            words,
+        } => MembershipKind::DetailReply(WireDetailReply {
+            details: details.iter().map(Into::into).collect(),
+            service: service.to_string(),
+            words: WireWords::write(words),
+        }),
+        MembershipMessage::DetailRequest { digest, service } => {
+            MembershipKind::DetailRequest(WireDetailRequest {
+                digest: *digest,
+                service: service.to_string(),
+            })
+        }
+        MembershipMessage::DigestReply { buckets } => MembershipKind::DigestReply(WireDigests {
+            buckets: buckets.clone(),
+        }),
+        MembershipMessage::DigestRequest { root } => MembershipKind::DigestRequest(*root),
+        MembershipMessage::Gossip { words } => {
+            MembershipKind::Gossip(WireWords::write(words).unwrap_or_default())
+        }
+        MembershipMessage::Nack { number } => MembershipKind::Nack(*number),
+        MembershipMessage::Ping { number, words } => MembershipKind::Ping(WirePing {
+            number: *number,
+            words: WireWords::write(words),
+        }),
+        MembershipMessage::PingRequest {
+            address,
+            number,
+            subject,
+        } => MembershipKind::PingRequest(WirePingRequest {
+            ip: write_ip(address.ip()),
+            number: *number,
+            port: address.port().into(),
+            subject: subject.to_string(),
+        }),
+        MembershipMessage::StateReply { buckets, words } => {
+            MembershipKind::StateReply(WireStateReply {
+                buckets: buckets.words().to_vec(),
+                words: WireWords::write(words),
+            })
+        }
+        MembershipMessage::StateRequest {
+            announcement,
+            buckets,
+        } => MembershipKind::StateRequest(WireStateRequest {
+            announcement: WireWords::write(&[Word::Announcement(announcement.clone())]),
+            buckets: buckets.words().to_vec(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/proto/src/membership_words.rs
@@ -0,0 +1,58 @@
+use medlarspool_membership::{Accusation, Word};
+use prost::Message;
+
+use crate::{ProtoError, WireAccusation, WireAnnouncement, WireZone};
+
+/// News on the wire: announcements go before accusations, which may be of the lives announced.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub struct WireWords {
+    /// What daemons say of others.
+    #[prost(message, repeated, tag = "1")]
+    pub accusations: Vec<WireAccusation>,
+    /// What daemons say of themselves.
+    #[prost(message, repeated, tag = "2")]
+    pub announcements: Vec<WireAnnouncement>,
+    /// The availability zones that the announcements refer to.
+    #[prost(message, repeated, tag = "3")]
+    pub zones: Vec<WireZone>,
+}
+
+impl WireWords {
+    /// Returns the words on the wire, or nothing if there are none.
+    pub(crate) fn write(words: &[Word]) -> Option<Self> {
+        if words.is_empty() {
+            return None;
+        }
+        let mut wire = Self::default();
+        for word in words {
+            match word {
+                Word::Accusation(accusation) => wire.accusations.push(accusation.into()),
+                Word::Announcement(announcement) => {
+                    let announcement = WireAnnouncement::write(announcement, &mut wire.zones);
+                    wire.announcements.push(announcement);
+                }
+            }
+        }
+        Some(wire)
+    }
+
+    /// Returns the words in their typed form.
+    pub(crate) fn read(wire: Option<Self>) -> Result<Vec<Word>, ProtoError> {
+        let Some(wire) = wire else {
+            return Ok(Vec::new());
+        };
+        let mut words = Vec::new();
+        for announcement in wire.announcements {
+            words.push(Word::Announcement(announcement.read(&wire.zones)?));
+        }
+        for accusation in wire.accusations {
+            words.push(Word::Accusation(Accusation::try_from(accusation)?));
+        }
+        Ok(words)
+    }
+}
+
+/// Reads an id.
+pub(crate) fn read_text<Id: TryFrom<String>>(text: String) -> Result<Id, ProtoError> {
+    Id::try_from(text.clone()).map_err(|_| ProtoError::Member(text))
+}
--- a/crates/proto/src/proto_error.rs
+++ b/crates/proto/src/proto_error.rs
@@ -3,8 +3,16 @@
 /// What can go wrong between two daemons.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum ProtoError {
+    /// `{0}` makes a datagram unreadable
+    Datagram(String),
+    /// the datagram is not sealed with the fleet's key
+    DatagramSeal,
     /// `{0}` is not a fleet key of at least 16 characters
     FleetKey(String),
+    /// `{0}` makes a word about a member unreadable
+    Member(String),
+    /// the datagram says nothing that this version knows
+    PayloadMissing,
     /// `{0}` is not an address that a daemon can be reached at
     PeerAddress(String),
 }
