--- /dev/null
+++ b/crates/bench/benches/convergence.rs
@@ -0,0 +1,202 @@
+//! Measures how long an accepted change takes to be everywhere and what bytes that costs.
+//!
+//! The ways run side by side, beside the baseline of polling. See `docs/design/spread.md`.
+
+use std::{io, process::ExitCode, time::Duration};
+
+use medlarspool_bench::{
+    ConvergenceFleet, ConvergenceLayout, ConvergenceRun, ConvergenceWay, Figures, LinearFit,
+};
+use medlarspool_spread::{SpreadMode, SpreadPreference, SpreadSettings};
+
+const CURVE_DAEMONS: usize = 100;
+const CURVE_DIGEST_INTERVALS_MS: [u64; 2] = [500, 2_000];
+const CURVE_FAN_OUTS: [usize; 4] = [1, 2, 4, 6];
+const FAULT_DAEMONS: usize = 100;
+const SEED: u64 = 7;
+const SIZES: [usize; 4] = [25, 50, 100, 200];
+const TODAY_DAEMONS: usize = 18;
+const TWO_YEARS_DAEMONS: f64 = 5_800.0;
+/// The most bytes of control in a second that a daemon may spend.
+const CONTROL_BOUND_BYTES: f64 = 18_000.0;
+/// A tenth of the store's reads in a second.
+const STORE_READS_BOUND: f64 = 200.0;
+
+fn main() -> io::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()?;
+    let figures = runtime.block_on(measure())?;
+    Ok(if figures.print_bound() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn measure() -> io::Result<Figures> {
+    let mut all = Figures::default();
+    for figures in [
+        today().await?,
+        scaling().await?,
+        faults().await?,
+        curve().await?,
+    ] {
+        figures.print();
+        all.extend(figures);
+    }
+    Ok(all)
+}
+
+async fn begin(
+    daemons: usize,
+    layout: ConvergenceLayout,
+    way: ConvergenceWay,
+    prefix: String,
+) -> io::Result<ConvergenceRun> {
+    let fleet = ConvergenceFleet::start(daemons, layout, way.settings(), SEED).await?;
+    ConvergenceRun::begin(fleet, prefix, way).await
+}
+
+/// The two deployments of today, each with its default.
+async fn today() -> io::Result<Figures> {
+    let deployment = async |name: &str, layout, way| {
+        let mut run = begin(TODAY_DAEMONS, layout, way, name.into()).await?;
+        run.one_change(10).await;
+        run.steady(1).await;
+        io::Result::Ok(run.end())
+    };
+    let (trust, atlas) = tokio::try_join!(
+        deployment(
+            "trust",
+            ConvergenceLayout::TRUST,
+            ConvergenceWay::Convergence
+        ),
+        deployment(
+            "atlas",
+            ConvergenceLayout::ATLAS,
+            ConvergenceWay::ControlBytes
+        ),
+    )?;
+    let mut figures = trust;
+    figures.extend(atlas);
+    Ok(figures)
+}
+
+/// One change and the steady rate at four sizes, and the line through them.
+async fn scaling() -> io::Result<Figures> {
+    let mut figures = Figures::default();
+    for daemons in SIZES {
+        let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(async |way| {
+            let prefix = format!("{}_{daemons}", way.name());
+            let mut run = begin(daemons, ConvergenceLayout::TWO_YEARS, way, prefix).await?;
+            run.one_change(6).await;
+            run.steady(2).await;
+            io::Result::Ok(run.end())
+        });
+        let (one, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
+        for each in [one, two, three] {
+            figures.extend(each);
+        }
+    }
+    for way in ConvergenceWay::ALL {
+        fit(
+            &mut figures,
+            way,
+            "steady_peer_bytes",
+            "B/s/daemon",
+            CONTROL_BOUND_BYTES,
+        );
+        fit(
+            &mut figures,
+            way,
+            "steady_store_fleet_bytes",
+            "B/s/fleet",
+            f64::INFINITY,
+        );
+        fit(
+            &mut figures,
+            way,
+            "steady_store_reads",
+            "1/s/fleet",
+            STORE_READS_BOUND,
+        );
+    }
+    Ok(figures)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "sizes are small")]
+fn fit(figures: &mut Figures, way: ConvergenceWay, name: &str, unit: &'static str, most: f64) {
+    let points = SIZES.map(|daemons| {
+        let value = figures.value(&format!("{}_{daemons}_{name}", way.name()));
+        [daemons as f64, value.unwrap_or(f64::NAN)]
+    });
+    let line = LinearFit::of(&points);
+    let prefix = format!("{}_{name}", way.name());
+    figures.add(format!("{prefix}_intercept"), line.intercept, unit);
+    figures.add(
+        format!("{prefix}_slope_a_1000_daemons"),
+        line.slope * 1_000.0,
+        unit,
+    );
+    figures.add(format!("{prefix}_fit_spread"), line.spread, unit);
+    let name = format!("{prefix}_at_5800");
+    let value = line.at(TWO_YEARS_DAEMONS);
+    if way.is_bounded() {
+        figures.add_bounded(name, value, unit, most);
+    } else {
+        figures.add(name, value, unit);
+    }
+}
+
+/// Every fault in turn, for each way.
+async fn faults() -> io::Result<Figures> {
+    let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(async |way| {
+        let prefix = format!("{}_{FAULT_DAEMONS}", way.name());
+        let mut run = begin(FAULT_DAEMONS, ConvergenceLayout::TWO_YEARS, way, prefix).await?;
+        run.burst(100).await;
+        run.store_down(3).await;
+        run.zone_cut(20).await;
+        run.lossy(30).await;
+        run.herd(5).await?;
+        io::Result::Ok(run.end())
+    });
+    let (one, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
+    let mut figures = one;
+    figures.extend(two);
+    figures.extend(three);
+    Ok(figures)
+}
+
+/// Convergence against control bytes over the settings that pull them apart.
+async fn curve() -> io::Result<Figures> {
+    let mut runs = Vec::new();
+    for fan_out in CURVE_FAN_OUTS {
+        for digest_interval_ms in CURVE_DIGEST_INTERVALS_MS {
+            runs.push(tokio::spawn(curve_point(fan_out, digest_interval_ms)));
+        }
+    }
+    let mut figures = Figures::default();
+    for run in runs {
+        figures.extend(run.await.map_err(io::Error::other)??);
+    }
+    Ok(figures)
+}
+
+async fn curve_point(fan_out: usize, digest_interval_ms: u64) -> io::Result<Figures> {
+    let settings = SpreadSettings {
+        digest_interval: Duration::from_millis(digest_interval_ms),
+        fan_out,
+        join_spread: Duration::from_secs(1),
+        mode: SpreadMode::SharedBudget,
+        ..SpreadSettings::for_preference(SpreadPreference::Convergence)
+    };
+    let layout = ConvergenceLayout::TWO_YEARS;
+    let fleet = ConvergenceFleet::start(CURVE_DAEMONS, layout, settings, SEED).await?;
+    let prefix = format!("curve_fan_out_{fan_out}_digest_{digest_interval_ms}_ms");
+    let mut run = ConvergenceRun::begin(fleet, prefix, ConvergenceWay::Convergence).await?;
+    run.one_change(10).await;
+    run.steady(1).await;
+    Ok(run.end())
+}
--- /dev/null
+++ b/crates/bench/src/convergence_daemon.rs
@@ -0,0 +1,326 @@
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_config::{Lists, Snapshot};
+use medlarspool_proto::{Datagram, FleetKey, SpreadPayload, TransferReply, read_updates};
+use medlarspool_spread::{
+    DeltaUpdate, FetchOutcome, FetchSource, LinkClass, Refusal, SnapshotHolder, Spread,
+    SpreadAction, SpreadEvent, SpreadMessage, SpreadPeer, apply_updates, refusal_of,
+    update_between,
+};
+use medlarspool_types::{Address, ConfigHead, Incarnation};
+use prost::Message;
+use tokio::{
+    net::UdpSocket,
+    sync::{
+        mpsc::{UnboundedReceiver, UnboundedSender},
+        oneshot,
+    },
+};
+
+use crate::{
+    ConvergenceNetwork, ConvergenceRecord, ConvergenceStore,
+    convergence_command::ConvergenceCommand, convergence_network::link_delay,
+    convergence_record::Life, convergence_store::READ_TIME,
+};
+
+/// The bytes of a read of the head, request and answer, with their headers.
+const HEAD_READ_BYTES: usize = 700;
+/// The rate at which a giver's link carries a transfer.
+const LINK_BYTES_PER_SECOND: u32 = 125_000_000;
+/// The longest time without a look at the clock.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// One daemon of a bench: the core, a socket and what the edge holds.
+pub(crate) struct ConvergenceDaemon {
+    pub(crate) commands: UnboundedSender<ConvergenceCommand>,
+    pub(crate) core: Spread,
+    pub(crate) holder: Arc<SnapshotHolder<Snapshot>>,
+    pub(crate) key: FleetKey,
+    pub(crate) life: Life,
+    pub(crate) me: SpreadPeer,
+    pub(crate) network: Arc<ConvergenceNetwork>,
+    pub(crate) record: Arc<ConvergenceRecord>,
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) store: Arc<ConvergenceStore>,
+    pub(crate) transfers: HashMap<u64, oneshot::Sender<TransferReply>>,
+}
+
+impl ConvergenceDaemon {
+    /// Runs until the task is aborted.
+    pub(crate) async fn run(mut self, mut commands: UnboundedReceiver<ConvergenceCommand>) {
+        let mut buffer = vec![0; 2_048];
+        let socket = Arc::clone(&self.socket);
+        loop {
+            let wait = self
+                .core
+                .next_wakeup()
+                .map_or(MAX_WAIT, |at| at.saturating_duration_since(Instant::now()));
+            tokio::select! {
+                received = socket.recv_from(&mut buffer) => {
+                    if let Ok((length, address)) = received {
+                        self.received(address, &buffer[..length]);
+                    }
+                }
+                Some(command) = commands.recv() => self.command(command),
+                () = tokio::time::sleep(wait) => self.handle(SpreadEvent::Tick),
+            }
+            if self.core.readiness().is_ready() {
+                self.record.ready(self.life);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: SpreadEvent) {
+        let mut actions = Vec::new();
+        self.core.handle(Instant::now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn received(&mut self, address: Address, sealed: &[u8]) {
+        let Ok(datagram) = Datagram::open(&self.key, sealed) else {
+            return self.record.violated();
+        };
+        let (head, sender) = (datagram.head(), datagram.sender.parse());
+        let message = datagram.spread.map(SpreadMessage::try_from);
+        if let (Ok(from), Some(Ok(message))) = (sender, message) {
+            self.handle(SpreadEvent::Message {
+                address,
+                from,
+                head,
+                message,
+            });
+        }
+    }
+
+    fn command(&mut self, command: ConvergenceCommand) {
+        match command {
+            ConvergenceCommand::Event(event) => self.handle(event),
+            ConvergenceCommand::FetchFailed { outcome, source } => self.finish(source, outcome),
+            ConvergenceCommand::Lists { encoded, head } => {
+                let outcome = self.take_whole(head, &encoded);
+                self.finish(FetchSource::Store, outcome);
+            }
+            ConvergenceCommand::Transfer { base, reply } => {
+                let ticket = fastrand::u64(..);
+                self.transfers.insert(ticket, reply);
+                self.handle(SpreadEvent::TransferRequested { base, ticket });
+            }
+            ConvergenceCommand::Transferred { reply, source } => {
+                let outcome = self.take_transfer(&reply);
+                self.finish(source, outcome);
+            }
+        }
+    }
+
+    fn act(&mut self, action: SpreadAction) {
+        match action {
+            SpreadAction::Apply { source, updates } => {
+                let outcome = self.apply(updates);
+                self.finish(source, outcome);
+            }
+            SpreadAction::Fetch { base, head, source } => self.fetch(base, head, &source),
+            SpreadAction::ReadHead => self.read_head(),
+            SpreadAction::Send {
+                address,
+                link,
+                message,
+            } => self.send(address, link, &message),
+            SpreadAction::TransferBusy {
+                retry_after,
+                ticket,
+            } => self.answer(ticket, TransferReply::busy(retry_after)),
+            SpreadAction::TransferGranted { ticket, updates } => {
+                let reply = self.transfer(updates);
+                self.end_transfer_after(reply.encoded_len());
+                self.answer(ticket, reply);
+            }
+            SpreadAction::Verify => {
+                let held = self.holder.load_full();
+                let intact = held.is_none_or(|held| held.lists().digest() == held.head().digest);
+                self.handle(SpreadEvent::Verified { intact });
+            }
+        }
+    }
+
+    fn finish(&mut self, source: FetchSource, outcome: FetchOutcome) {
+        let head = self.holder.head();
+        self.handle(SpreadEvent::Fetched {
+            head,
+            outcome,
+            source,
+        });
+    }
+
+    fn apply(&self, updates: Vec<DeltaUpdate>) -> FetchOutcome {
+        let Some(base) = self.holder.load_full() else {
+            return FetchOutcome::Refused(Refusal::BaseMismatch);
+        };
+        match apply_updates(&base, &updates) {
+            Ok(snapshot) => self.swap(snapshot, updates),
+            Err(reason) => FetchOutcome::Refused(reason),
+        }
+    }
+
+    fn take_whole(&self, head: ConfigHead, encoded: &[u8]) -> FetchOutcome {
+        let built = Lists::decode(encoded).and_then(|lists| Snapshot::build(head, lists.into()));
+        match built {
+            Ok(snapshot) => {
+                let base = self.holder.load_full();
+                let update = base.map(|base| update_between(&base, &snapshot));
+                self.swap(snapshot, Vec::from_iter(update))
+            }
+            Err(error) => FetchOutcome::Refused(refusal_of(&error)),
+        }
+    }
+
+    fn take_transfer(&self, reply: &TransferReply) -> FetchOutcome {
+        if let Some(retry_after) = reply.retry_after() {
+            return FetchOutcome::Busy { retry_after };
+        }
+        if reply.deltas.is_empty() {
+            return self.take_whole(reply.head(), &reply.lists);
+        }
+        match read_updates(&reply.deltas) {
+            Ok(updates) => self.apply(updates),
+            Err(_) => FetchOutcome::Refused(Refusal::Damaged),
+        }
+    }
+
+    fn swap(&self, snapshot: Snapshot, updates: Vec<DeltaUpdate>) -> FetchOutcome {
+        let head = snapshot.head();
+        let dangling = snapshot.lists().plans().iter().any(|plan| {
+            let mut uses = plan.uses.iter();
+            uses.any(|service| snapshot.lists().service(service).is_none())
+        });
+        if dangling || snapshot.lists().digest() != head.digest {
+            self.record.violated();
+        }
+        match self.holder.swap_if_newer(head, Arc::new(snapshot)) {
+            Ok(()) => {
+                self.record.taken(self.life, head);
+                FetchOutcome::Applied { head, updates }
+            }
+            Err(reason) => FetchOutcome::Refused(reason),
+        }
+    }
+
+    fn send(&self, address: Address, link: LinkClass, message: &SpreadMessage) {
+        let head = self.core.announced_head();
+        let incarnation = Incarnation(self.life);
+        let mut datagram = Datagram::from_sender(&self.me.instance, incarnation, head);
+        datagram.spread = Some(SpreadPayload::from(message));
+        let sealed: Arc<[u8]> = datagram.seal(&self.key).into();
+        if sealed.len() > Datagram::MAX_BYTES {
+            self.record.violated();
+        }
+        self.network
+            .send(&self.me, &self.socket, address, link, &sealed);
+    }
+
+    fn read_head(&self) {
+        self.network.count(LinkClass::Store, HEAD_READ_BYTES);
+        let (commands, store) = (self.commands.clone(), Arc::clone(&self.store));
+        let reachable = self.network.reaches_store(&self.me);
+        tokio::spawn(async move {
+            tokio::time::sleep(READ_TIME).await;
+            let event = match store.read_head().filter(|_| reachable) {
+                Some(head) => SpreadEvent::HeadRead(head),
+                None => SpreadEvent::HeadReadFailed,
+            };
+            let _ = commands.send(ConvergenceCommand::Event(event));
+        });
+    }
+
+    fn fetch(&self, base: Option<ConfigHead>, head: ConfigHead, source: &FetchSource) {
+        match source {
+            FetchSource::Offer(_) | FetchSource::Store => self.fetch_store(head),
+            FetchSource::Peer(peer) => self.fetch_peer(base, peer, source),
+        }
+    }
+
+    fn fetch_store(&self, head: ConfigHead) {
+        let (commands, store) = (self.commands.clone(), Arc::clone(&self.store));
+        let network = Arc::clone(&self.network);
+        let reachable = self.network.reaches_store(&self.me);
+        tokio::spawn(async move {
+            tokio::time::sleep(READ_TIME).await;
+            let command = match store.read_lists(head).filter(|_| reachable) {
+                Some(encoded) => {
+                    network.count_stream(LinkClass::Store, encoded.len());
+                    ConvergenceCommand::Lists { encoded, head }
+                }
+                None => ConvergenceCommand::FetchFailed {
+                    outcome: FetchOutcome::Failed,
+                    source: FetchSource::Store,
+                },
+            };
+            let _ = commands.send(command);
+        });
+    }
+
+    fn fetch_peer(&self, base: Option<ConfigHead>, peer: &SpreadPeer, source: &FetchSource) {
+        let link = LinkClass::between(&self.me, peer);
+        let (reply, answer) = oneshot::channel();
+        let place = self.network.reach(&self.me, peer.address);
+        let command = ConvergenceCommand::Transfer { base, reply };
+        let asked = place.is_some_and(|giver| giver.send(command).is_ok());
+        let (commands, network) = (self.commands.clone(), Arc::clone(&self.network));
+        let source = source.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(2 * link_delay(link)).await;
+            let answer = if asked { answer.await.ok() } else { None };
+            let command = match answer {
+                Some(reply) => {
+                    network.count_stream(link, reply.encoded_len());
+                    ConvergenceCommand::Transferred { reply, source }
+                }
+                None => ConvergenceCommand::FetchFailed {
+                    outcome: FetchOutcome::Failed,
+                    source,
+                },
+            };
+            let _ = commands.send(command);
+        });
+    }
+
+    fn transfer(&self, updates: Option<Vec<DeltaUpdate>>) -> TransferReply {
+        let Some(held) = self.holder.load_full() else {
+            return TransferReply::busy(MAX_WAIT);
+        };
+        let lists = if updates.is_some() {
+            Vec::new()
+        } else {
+            held.lists().encode()
+        };
+        let deltas = updates.unwrap_or_default();
+        TransferReply {
+            retry_after_ms: 0,
+            head: Some(held.head().into()),
+            deltas: deltas.iter().map(|update| update.delta.to_vec()).collect(),
+            lists,
+        }
+    }
+
+    /// Keeps the transfer's place for as long as its bytes need on the giver's link.
+    fn end_transfer_after(&self, bytes: usize) {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        let commands = self.commands.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_secs(1) * bytes / LINK_BYTES_PER_SECOND).await;
+            let _ = commands.send(ConvergenceCommand::Event(SpreadEvent::TransferEnded));
+        });
+    }
+
+    fn answer(&mut self, ticket: u64, reply: TransferReply) {
+        if let Some(asker) = self.transfers.remove(&ticket) {
+            // An asker that is gone needs no answer.
+            let _ = asker.send(reply);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/convergence_fleet.rs
@@ -0,0 +1,288 @@
+use std::{
+    collections::HashMap,
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_config::Snapshot;
+use medlarspool_proto::FleetKey;
+use medlarspool_spread::{
+    LinkClass, SnapshotHolder, Spread, SpreadEvent, SpreadPeer, SpreadSettings,
+};
+use medlarspool_types::{ConfigHead, ConfigVersion};
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc::{self, UnboundedSender},
+    task::JoinHandle,
+};
+
+use crate::{
+    ConvergenceLayout, ConvergenceNetwork, ConvergenceRecord, ConvergenceStore,
+    convergence_command::ConvergenceCommand, convergence_daemon::ConvergenceDaemon,
+    convergence_record::Life,
+};
+
+/// The customers in the lists.
+const CUSTOMERS: usize = 1_000;
+/// What a life's number grows by with each start, so that every life has its own.
+const LIVES: Life = 10_000;
+/// How often a wait looks again.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+struct Running {
+    commands: UnboundedSender<ConvergenceCommand>,
+    holder: Arc<SnapshotHolder<Snapshot>>,
+    task: JoinHandle<()>,
+}
+
+struct Member {
+    life: Life,
+    peer: SpreadPeer,
+    running: Option<Running>,
+}
+
+/// The daemons of one bench, each with a socket on loopback, in one process.
+pub struct ConvergenceFleet {
+    key: FleetKey,
+    members: Vec<Member>,
+    network: Arc<ConvergenceNetwork>,
+    record: Arc<ConvergenceRecord>,
+    settings: SpreadSettings,
+    store: Arc<ConvergenceStore>,
+}
+
+impl ConvergenceFleet {
+    /// Starts a fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket can't be bound.
+    ///
+    /// # Panics
+    ///
+    /// If the sample key is refused.
+    pub async fn start(
+        daemons: usize,
+        layout: ConvergenceLayout,
+        settings: SpreadSettings,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let mut fleet = Self {
+            key: FleetKey::derive("the key of a bench on loopback").expect("a key"),
+            members: Vec::with_capacity(daemons),
+            network: Arc::default(),
+            record: Arc::default(),
+            settings,
+            store: Arc::new(ConvergenceStore::new(CUSTOMERS, seed)),
+        };
+        let mut sockets = Vec::with_capacity(daemons);
+        for at in 0..daemons {
+            let socket = UdpSocket::bind("127.0.0.1:0").await?;
+            fleet.members.push(Member {
+                life: Life::try_from(at).unwrap_or(Life::MAX),
+                peer: layout.peer(at, socket.local_addr()?),
+                running: None,
+            });
+            sockets.push(socket);
+        }
+        for (at, socket) in sockets.into_iter().enumerate() {
+            fleet.run(at, socket);
+        }
+        fleet.announce();
+        Ok(fleet)
+    }
+
+    fn run(&mut self, at: usize, socket: UdpSocket) {
+        let member = &mut self.members[at];
+        member.life += LIVES;
+        let (sender, commands) = mpsc::unbounded_channel();
+        self.network.join(member.peer.clone(), sender.clone());
+        let holder = Arc::new(SnapshotHolder::default());
+        let daemon = ConvergenceDaemon {
+            commands: sender.clone(),
+            core: Spread::new(
+                self.settings.clone(),
+                member.peer.clone(),
+                member.life,
+                Instant::now(),
+            ),
+            holder: Arc::clone(&holder),
+            key: self.key.clone(),
+            life: member.life,
+            me: member.peer.clone(),
+            network: Arc::clone(&self.network),
+            record: Arc::clone(&self.record),
+            socket: Arc::new(socket),
+            store: Arc::clone(&self.store),
+            transfers: HashMap::new(),
+        };
+        let task = tokio::spawn(daemon.run(commands));
+        member.running = Some(Running {
+            commands: sender,
+            holder,
+            task,
+        });
+    }
+
+    /// Ends daemons without warning; the others still believe them alive.
+    pub async fn kill(&mut self, daemons: impl IntoIterator<Item = usize>) {
+        for at in daemons {
+            let member = &mut self.members[at];
+            if let Some(running) = member.running.take() {
+                self.network.leave(member.peer.address);
+                running.task.abort();
+                // The task has ended by its abort.
+                let _ = running.task.await;
+            }
+        }
+    }
+
+    /// Starts daemons that were killed, all at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket can't be bound.
+    pub async fn restart(&mut self, daemons: impl IntoIterator<Item = usize>) -> io::Result<()> {
+        for at in daemons {
+            let socket = UdpSocket::bind(self.members[at].peer.address).await?;
+            self.run(at, socket);
+        }
+        self.announce();
+        Ok(())
+    }
+
+    /// Tells every daemon who lives, as membership would.
+    pub fn announce(&self) {
+        let living = |member: &&Member| member.running.is_some();
+        let peers: Vec<SpreadPeer> = self
+            .members
+            .iter()
+            .filter(living)
+            .map(|member| member.peer.clone())
+            .collect();
+        for running in self
+            .members
+            .iter()
+            .filter_map(|member| member.running.as_ref())
+        {
+            let event = SpreadEvent::PeersChanged(peers.clone());
+            // A daemon that has just ended hears nothing.
+            let _ = running.commands.send(ConvergenceCommand::Event(event));
+        }
+    }
+
+    /// Returns the links between the daemons.
+    #[must_use]
+    pub fn network(&self) -> &ConvergenceNetwork {
+        &self.network
+    }
+
+    /// Returns what the daemons took into use.
+    #[must_use]
+    pub fn record(&self) -> &ConvergenceRecord {
+        &self.record
+    }
+
+    /// Returns the store.
+    #[must_use]
+    pub fn store(&self) -> &ConvergenceStore {
+        &self.store
+    }
+
+    /// Returns how many daemons the fleet has, dead ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether the fleet has no daemon.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns whether any living daemon holds a version.
+    #[must_use]
+    pub fn any_holds(&self, head: ConfigHead) -> bool {
+        self.holders().any(|holder| holder.head() == head)
+    }
+
+    /// Returns whether every living daemon holds a version.
+    #[must_use]
+    pub fn all_hold(&self, head: ConfigHead) -> bool {
+        self.holders().all(|holder| holder.head() == head)
+    }
+
+    /// Waits until every living daemon holds a version; returns whether they did in time.
+    pub async fn wait_all_hold(&self, head: ConfigHead, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while !self.all_hold(head) {
+            if Instant::now() > end {
+                return false;
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Waits until some daemon holds a version.
+    pub async fn wait_any_holds(&self, head: ConfigHead) {
+        while !self.any_holds(head) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Returns how long after `since` each living daemon held a version; the longest if it doesn't.
+    #[must_use]
+    pub fn held_after(&self, version: ConfigVersion, since: Instant) -> Vec<Duration> {
+        self.lives()
+            .map(|life| self.record.held_at(life, version))
+            .map(|at| at.map_or(Duration::MAX, |at| at.saturating_duration_since(since)))
+            .collect()
+    }
+
+    /// Returns how long after `since` each of these daemons was ready.
+    #[must_use]
+    pub fn ready_after(&self, daemons: &[usize], since: Instant) -> Vec<Duration> {
+        daemons
+            .iter()
+            .map(|at| self.record.ready_at(self.members[*at].life))
+            .map(|at| at.map_or(Duration::MAX, |at| at.saturating_duration_since(since)))
+            .collect()
+    }
+
+    /// Returns the bytes sent so far over each class of link.
+    #[must_use]
+    pub fn bytes(&self) -> [u64; LinkClass::ALL.len()] {
+        LinkClass::ALL.map(|link| self.network.bytes(link))
+    }
+
+    fn holders(&self) -> impl Iterator<Item = &SnapshotHolder<Snapshot>> {
+        let running = self
+            .members
+            .iter()
+            .filter_map(|member| member.running.as_ref());
+        running.map(|running| running.holder.as_ref())
+    }
+
+    fn lives(&self) -> impl Iterator<Item = Life> {
+        let living = self
+            .members
+            .iter()
+            .filter(|member| member.running.is_some());
+        living.map(|member| member.life)
+    }
+}
+
+impl Drop for ConvergenceFleet {
+    fn drop(&mut self) {
+        for running in self
+            .members
+            .iter()
+            .filter_map(|member| member.running.as_ref())
+        {
+            running.task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/convergence_network.rs
@@ -0,0 +1,141 @@
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use medlarspool_proto::Datagram;
+use medlarspool_spread::{LinkClass, SpreadPeer};
+use medlarspool_types::Address;
+use tokio::{net::UdpSocket, sync::mpsc::UnboundedSender};
+
+use crate::{ConvergenceFaults, convergence_command::ConvergenceCommand};
+
+/// The time that a datagram takes between two availability zones.
+const BETWEEN_ZONES: Duration = Duration::from_millis(1);
+/// The time that a datagram takes between two regions.
+const BETWEEN_REGIONS: Duration = Duration::from_millis(40);
+/// The bytes of a transfer's request and of its headers, both ways.
+const TRANSFER_OVERHEAD_BYTES: usize = 400;
+/// The bytes that TCP and IP put before each segment.
+const SEGMENT_OVERHEAD_BYTES: usize = 40;
+/// The payload of one segment.
+const SEGMENT_BYTES: usize = 1_448;
+
+/// One daemon that can be reached.
+#[derive(Clone, Debug)]
+struct Place {
+    commands: UnboundedSender<ConvergenceCommand>,
+    peer: SpreadPeer,
+}
+
+/// The links between the daemons of one fleet: counts bytes and puts faults in their way.
+#[derive(Debug, Default)]
+pub struct ConvergenceNetwork {
+    bytes: [AtomicU64; LinkClass::ALL.len()],
+    faults: Mutex<ConvergenceFaults>,
+    places: Mutex<HashMap<Address, Place>>,
+}
+
+impl ConvergenceNetwork {
+    /// Returns the bytes sent over a class of link, framing included.
+    pub fn bytes(&self, link: LinkClass) -> u64 {
+        self.bytes[link as usize].load(Ordering::Relaxed)
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: ConvergenceFaults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Counts bytes that went over a class of link.
+    pub(crate) fn count(&self, link: LinkClass, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.bytes[link as usize].fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Counts a stream of bytes with its segments and headers.
+    pub(crate) fn count_stream(&self, link: LinkClass, payload: usize) {
+        let segments = 2 + payload.div_ceil(SEGMENT_BYTES);
+        let overhead = TRANSFER_OVERHEAD_BYTES + segments * SEGMENT_OVERHEAD_BYTES;
+        self.count(link, payload + overhead);
+    }
+
+    pub(crate) fn join(&self, peer: SpreadPeer, commands: UnboundedSender<ConvergenceCommand>) {
+        lock(&self.places).insert(peer.address, Place { commands, peer });
+    }
+
+    pub(crate) fn leave(&self, address: Address) {
+        lock(&self.places).remove(&address);
+    }
+
+    /// Returns the daemon at an address unless it is gone or cut off.
+    pub(crate) fn reach(
+        &self,
+        from: &SpreadPeer,
+        address: Address,
+    ) -> Option<UnboundedSender<ConvergenceCommand>> {
+        let place = lock(&self.places).get(&address).cloned()?;
+        let faults = lock(&self.faults);
+        (!is_cut(&faults, from, &place.peer)).then_some(place.commands)
+    }
+
+    /// Returns whether a daemon reaches the store, which a cut zone doesn't.
+    pub(crate) fn reaches_store(&self, from: &SpreadPeer) -> bool {
+        lock(&self.faults).cut_zone.as_ref() != Some(&from.availability_zone)
+    }
+
+    /// Sends a datagram over a link, late, twice or not at all as the faults have it.
+    pub(crate) fn send(
+        &self,
+        from: &SpreadPeer,
+        socket: &Arc<UdpSocket>,
+        address: Address,
+        link: LinkClass,
+        datagram: &Arc<[u8]>,
+    ) {
+        self.count(link, datagram.len() + Datagram::FRAMING_BYTES);
+        if self.reach(from, address).is_none() {
+            return;
+        }
+        let faults = lock(&self.faults).clone();
+        let copies = if fastrand::f64() < faults.lost {
+            0
+        } else {
+            1 + usize::from(fastrand::f64() < faults.duplicated)
+        };
+        for _ in 0..copies {
+            let delay = link_delay(link) + faults.longest_delay.mul_f64(fastrand::f64());
+            let datagram = Arc::clone(datagram);
+            let socket = Arc::clone(socket);
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                // A full buffer loses the datagram, as on any network.
+                let _ = socket.send_to(&datagram, address).await;
+            });
+        }
+    }
+}
+
+/// Returns the time that one message takes over a class of link.
+pub(crate) const fn link_delay(link: LinkClass) -> Duration {
+    match link {
+        LinkClass::BetweenRegions => BETWEEN_REGIONS,
+        LinkClass::BetweenZones => BETWEEN_ZONES,
+        LinkClass::SameZone | LinkClass::Store => Duration::ZERO,
+    }
+}
+
+fn is_cut(faults: &ConvergenceFaults, one: &SpreadPeer, other: &SpreadPeer) -> bool {
+    faults
+        .cut_zone
+        .as_ref()
+        .is_some_and(|cut| (one.availability_zone == *cut) != (other.availability_zone == *cut))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/bench/src/convergence_run.rs
@@ -0,0 +1,296 @@
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use medlarspool_spread::LinkClass;
+use medlarspool_types::ConfigHead;
+
+use crate::{ConvergenceFaults, ConvergenceFleet, ConvergenceWay, Figures};
+
+/// The longest time within which a change must be in force everywhere, in milliseconds.
+const CONVERGENCE_BOUND_MS: f64 = 5_000.0;
+/// The most bytes of control in a second that a daemon may spend.
+const CONTROL_BOUND_BYTES: f64 = 18_000.0;
+/// A tenth of the store's reads in a second.
+const STORE_READS_BOUND: f64 = 200.0;
+/// The time between two changes at 12,000 a day.
+const STEADY_INTERVAL: Duration = Duration::from_millis(7_200);
+/// The longest wait for a change.
+const LIMIT: Duration = Duration::from_secs(15);
+/// What stands for a daemon that never held a version, in microseconds.
+const LONGEST_US: u64 = 3_600_000_000;
+/// How long it takes until membership has noticed that daemons are gone.
+const DETECTION: Duration = Duration::from_secs(3);
+
+/// One way of spreading, put through one scenario after the other.
+pub struct ConvergenceRun {
+    figures: Figures,
+    fleet: ConvergenceFleet,
+    prefix: String,
+    way: ConvergenceWay,
+}
+
+impl ConvergenceRun {
+    /// Begins with a fleet that has settled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the fleet doesn't settle.
+    pub async fn begin(
+        fleet: ConvergenceFleet,
+        prefix: String,
+        way: ConvergenceWay,
+    ) -> io::Result<Self> {
+        let (head, _) = *fleet
+            .store()
+            .versions()
+            .last()
+            .ok_or(io::ErrorKind::NotFound)?;
+        if !fleet.wait_all_hold(head, LIMIT).await {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        Ok(Self {
+            figures: Figures::default(),
+            fleet,
+            prefix,
+            way,
+        })
+    }
+
+    /// Ends the run, counts broken promises and returns the figures.
+    #[must_use]
+    pub fn end(mut self) -> Figures {
+        let violations = self.fleet.record().violations();
+        self.bounded("violations", precise(violations), "count", 0.0);
+        self.figures
+    }
+
+    /// Changes one entry at a time and waits until it is everywhere.
+    pub async fn one_change(&mut self, changes: usize) {
+        let mut waits = Vec::new();
+        for _ in 0..changes {
+            let (head, since) = self.commit();
+            self.fleet.wait_all_hold(head, LIMIT).await;
+            waits.extend(self.fleet.held_after(head.version, since));
+            let pause = Duration::from_millis(fastrand::u64(100..400));
+            tokio::time::sleep(pause).await;
+        }
+        self.times("one_change", &waits);
+    }
+
+    /// Measures bytes and reads at 12,000 changes a day.
+    pub async fn steady(&mut self, changes: u32) {
+        let begin = Instant::now();
+        let before = self.fleet.bytes();
+        let reads = self.fleet.store().head_reads() + self.fleet.store().list_reads();
+        let mut waits = Vec::new();
+        for _ in 0..changes {
+            let (head, since) = self.commit();
+            tokio::time::sleep(STEADY_INTERVAL).await;
+            waits.extend(self.fleet.held_after(head.version, since));
+        }
+        let seconds = begin.elapsed().as_secs_f64();
+        self.times("steady", &waits);
+        let spent = self.spent_since(before);
+        let mut between_daemons = 0.0;
+        for (link, bytes) in LinkClass::ALL.into_iter().zip(spent) {
+            let fleet_rate = precise(bytes) / seconds;
+            let rate = fleet_rate / counted(self.fleet.len());
+            self.add(
+                &format!("steady_{}_bytes", link_name(link)),
+                rate,
+                "B/s/daemon",
+            );
+            if link == LinkClass::Store {
+                self.add("steady_store_fleet_bytes", fleet_rate, "B/s/fleet");
+            } else {
+                between_daemons += rate;
+            }
+        }
+        self.add("steady_peer_bytes", between_daemons, "B/s/daemon");
+        let rate = precise(spent.iter().sum()) / seconds / counted(self.fleet.len());
+        self.bounded("steady_bytes", rate, "B/s/daemon", CONTROL_BOUND_BYTES);
+        let now = self.fleet.store().head_reads() + self.fleet.store().list_reads();
+        let rate = precise(now - reads) / seconds;
+        self.bounded("steady_store_reads", rate, "1/s/fleet", STORE_READS_BOUND);
+    }
+
+    /// Accepts many changes as fast as the store takes them.
+    pub async fn burst(&mut self, changes: usize) {
+        let before = self.fleet.bytes();
+        let reads = self.fleet.store().list_reads();
+        let accepted: Vec<_> = (0..changes).map(|_| self.commit()).collect();
+        let (last, _) = accepted[changes - 1];
+        self.fleet.wait_all_hold(last, LIMIT).await;
+        let waits: Vec<Duration> = accepted
+            .iter()
+            .flat_map(|(head, since)| self.fleet.held_after(head.version, *since))
+            .collect();
+        self.times("burst", &waits);
+        let bytes: u64 = self.spent_since(before).iter().sum();
+        let each = precise(bytes) / counted(changes) / counted(self.fleet.len());
+        self.add("burst_bytes", each, "B/change/daemon");
+        let reads = self.fleet.store().list_reads() - reads;
+        self.add("burst_list_reads", precise(reads), "count");
+    }
+
+    /// Takes the store down as soon as one daemon holds a change.
+    pub async fn store_down(&mut self, changes: usize) {
+        let mut waits = Vec::new();
+        for _ in 0..changes {
+            let (head, since) = self.commit();
+            self.fleet.wait_any_holds(head).await;
+            self.fleet.store().set_down(true);
+            self.fleet.wait_all_hold(head, Duration::from_secs(5)).await;
+            waits.extend(self.fleet.held_after(head.version, since));
+            self.fleet.store().set_down(false);
+            self.fleet.wait_all_hold(head, LIMIT).await;
+        }
+        self.times("store_down", &waits);
+    }
+
+    /// Cuts one availability zone off, the store included, and lets it come back.
+    ///
+    /// # Panics
+    ///
+    /// If the name of the sample's zone is no id.
+    pub async fn zone_cut(&mut self, changes: usize) {
+        self.fleet.network().set_faults(ConvergenceFaults {
+            cut_zone: Some("zone-1".parse().expect("an id")),
+            ..ConvergenceFaults::default()
+        });
+        let accepted: Vec<_> = (0..changes).map(|_| self.commit()).collect();
+        tokio::time::sleep(DETECTION).await;
+        let since = Instant::now();
+        self.fleet
+            .network()
+            .set_faults(ConvergenceFaults::default());
+        let (head, _) = accepted[changes - 1];
+        self.fleet.wait_all_hold(head, LIMIT).await;
+        let waits = self.fleet.held_after(head.version, since);
+        self.times("zone_back", &waits);
+    }
+
+    /// Kills 30% of the daemons and starts them together after changes that they missed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket can't be bound again.
+    pub async fn herd(&mut self, changes: usize) -> io::Result<()> {
+        let killed: Vec<usize> = (0..self.fleet.len()).filter(|at| at % 10 < 3).collect();
+        self.fleet.kill(killed.iter().copied()).await;
+        let accepted: Vec<_> = (0..changes).map(|_| self.commit()).collect();
+        let (head, since) = accepted[changes - 1];
+        self.fleet.wait_all_hold(head, LIMIT).await;
+        let waits = self.fleet.held_after(head.version, since);
+        self.times("while_30_percent_are_dead", &waits);
+        self.fleet.announce();
+        tokio::time::sleep(DETECTION).await;
+        let reads = self.fleet.store().head_reads();
+        let lists = self.fleet.store().list_reads();
+        let since = Instant::now();
+        self.fleet.restart(killed.iter().copied()).await?;
+        self.fleet.wait_all_hold(head, LIMIT).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let waits = self.fleet.ready_after(&killed, since);
+        self.times("herd_ready", &waits);
+        let lists = self.fleet.store().list_reads() - lists;
+        self.add("herd_list_reads", precise(lists), "count");
+        let reads = self.fleet.store().head_reads() - reads;
+        self.add("herd_head_reads", precise(reads), "count");
+        Ok(())
+    }
+
+    /// Loses, doubles, delays and so crosses datagrams.
+    pub async fn lossy(&mut self, changes: usize) {
+        self.fleet.network().set_faults(ConvergenceFaults {
+            cut_zone: None,
+            duplicated: 0.1,
+            longest_delay: Duration::from_millis(100),
+            lost: 0.1,
+        });
+        let mut accepted = Vec::new();
+        for _ in 0..changes {
+            accepted.push(self.commit());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let (last, _) = accepted[changes - 1];
+        self.fleet.wait_all_hold(last, LIMIT).await;
+        let waits: Vec<Duration> = accepted
+            .iter()
+            .flat_map(|(head, since)| self.fleet.held_after(head.version, *since))
+            .collect();
+        self.times("lossy", &waits);
+        self.fleet
+            .network()
+            .set_faults(ConvergenceFaults::default());
+    }
+
+    fn commit(&self) -> (ConfigHead, Instant) {
+        let head = self.fleet.store().commit();
+        (head, Instant::now())
+    }
+
+    fn spent_since(&self, before: [u64; LinkClass::ALL.len()]) -> [u64; LinkClass::ALL.len()] {
+        let mut spent = self.fleet.bytes();
+        for (now, before) in spent.iter_mut().zip(before) {
+            *now -= before;
+        }
+        spent
+    }
+
+    fn times(&mut self, name: &str, waits: &[Duration]) {
+        let mut histogram = Histogram::<u64>::new(3).expect("three digits");
+        for duration in waits {
+            let us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+            histogram
+                .record(us.min(LONGEST_US))
+                .expect("the histogram grows with its values");
+        }
+        let ms = |us: u64| precise(us) / 1_000.0;
+        let median = ms(histogram.value_at_quantile(0.5));
+        self.add(&format!("{name}_median"), median, "ms");
+        let p99 = ms(histogram.value_at_quantile(0.99));
+        self.add(&format!("{name}_99_in_100"), p99, "ms");
+        let last = ms(histogram.max());
+        self.bounded(&format!("{name}_last"), last, "ms", CONVERGENCE_BOUND_MS);
+    }
+
+    fn add(&mut self, name: &str, value: f64, unit: &'static str) {
+        self.figures
+            .add(format!("{}_{name}", self.prefix), value, unit);
+    }
+
+    fn bounded(&mut self, name: &str, value: f64, unit: &'static str, most: f64) {
+        let name = format!("{}_{name}", self.prefix);
+        if self.way.is_bounded() {
+            self.figures.add_bounded(name, value, unit, most);
+        } else {
+            self.figures.add(name, value, unit);
+        }
+    }
+}
+
+/// Returns the name of a class of link in figures.
+#[must_use]
+pub const fn link_name(link: LinkClass) -> &'static str {
+    match link {
+        LinkClass::BetweenRegions => "between_regions",
+        LinkClass::BetweenZones => "between_zones",
+        LinkClass::SameZone => "same_zone",
+        LinkClass::Store => "store",
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "figures have three digits")]
+fn precise(value: u64) -> f64 {
+    value as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "figures have three digits")]
+fn counted(value: usize) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/bench/src/convergence_store.rs
@@ -0,0 +1,107 @@
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use medlarspool_types::{ConfigDigest, ConfigHead};
+
+use crate::SampleLists;
+
+/// The time that one read takes.
+pub(crate) const READ_TIME: Duration = Duration::from_millis(5);
+
+#[derive(Debug)]
+struct Accepted {
+    lists: HashMap<ConfigDigest, Vec<u8>>,
+    sample: SampleLists,
+    versions: Vec<(ConfigHead, Instant)>,
+}
+
+/// The platform's part in a bench of convergence: accepted versions, counts, and an outage.
+#[derive(Debug)]
+pub struct ConvergenceStore {
+    accepted: Mutex<Accepted>,
+    down: AtomicBool,
+    head_reads: AtomicU64,
+    list_reads: AtomicU64,
+}
+
+impl ConvergenceStore {
+    /// Makes a store that holds one version with this many customers.
+    #[must_use]
+    pub fn new(customers: usize, seed: u64) -> Self {
+        let accepted = Accepted {
+            lists: HashMap::new(),
+            sample: SampleLists::new(customers, seed),
+            versions: Vec::new(),
+        };
+        let store = Self {
+            accepted: Mutex::new(accepted),
+            down: AtomicBool::new(false),
+            head_reads: AtomicU64::new(0),
+            list_reads: AtomicU64::new(0),
+        };
+        store.commit();
+        store
+    }
+
+    /// Accepts a change of one entry.
+    pub fn commit(&self) -> ConfigHead {
+        let mut accepted = self.lock();
+        accepted.sample.change(1);
+        let snapshot = accepted.sample.snapshot();
+        let head = snapshot.head();
+        accepted
+            .lists
+            .insert(head.digest, snapshot.lists().encode());
+        accepted.versions.push((head, Instant::now()));
+        head
+    }
+
+    /// Returns the accepted versions and when each was.
+    #[must_use]
+    pub fn versions(&self) -> Vec<(ConfigHead, Instant)> {
+        self.lock().versions.clone()
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::Relaxed);
+    }
+
+    /// Returns the reads of the head so far.
+    #[must_use]
+    pub fn head_reads(&self) -> u64 {
+        self.head_reads.load(Ordering::Relaxed)
+    }
+
+    /// Returns the reads of lists so far.
+    #[must_use]
+    pub fn list_reads(&self) -> u64 {
+        self.list_reads.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn read_head(&self) -> Option<ConfigHead> {
+        self.head_reads.fetch_add(1, Ordering::Relaxed);
+        if self.down.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.lock().versions.last().map(|(head, _)| *head)
+    }
+
+    pub(crate) fn read_lists(&self, head: ConfigHead) -> Option<Vec<u8>> {
+        self.list_reads.fetch_add(1, Ordering::Relaxed);
+        if self.down.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.lock().lists.get(&head.digest).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Accepted> {
+        self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,16 @@
 mod calls_tally;
 mod calls_upstream;
 mod child_process;
+mod convergence_command;
+mod convergence_daemon;
+mod convergence_faults;
+mod convergence_fleet;
+mod convergence_layout;
+mod convergence_network;
+mod convergence_record;
+mod convergence_run;
+mod convergence_store;
+mod convergence_way;
 mod daemon_spec;
 mod figure;
 mod figures;
@@ -54,6 +64,14 @@
     calls_report::CallsReport,
     calls_scenario::CallsScenario,
     child_process::ChildProcess,
+    convergence_faults::ConvergenceFaults,
+    convergence_fleet::ConvergenceFleet,
+    convergence_layout::ConvergenceLayout,
+    convergence_network::ConvergenceNetwork,
+    convergence_record::ConvergenceRecord,
+    convergence_run::{ConvergenceRun, link_name},
+    convergence_store::ConvergenceStore,
+    convergence_way::ConvergenceWay,
     daemon_spec::{DaemonSpec, FLEET_KEY, OPERATOR_TOKEN, PLATFORM_TOKEN},
     figure::Figure,
     figures::Figures,
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -1,7 +1,7 @@
 use medlarspool_types::{ConfigHead, Incarnation, InstanceId};
 use prost::Message;
 
-use crate::{FleetKey, MembershipPayload, ProtoError, WireHead};
+use crate::{FleetKey, MembershipPayload, ProtoError, SpreadPayload, WireHead};
 
 /// One control datagram between two daemons, inside its seal.
 ///
@@ -18,6 +18,9 @@
     /// The version that the sender serves by; absent if it isn't ready.
     #[prost(message, optional, tag = "3")]
     pub head: Option<WireHead>,
+    /// What it says about changes.
+    #[prost(message, optional, tag = "4")]
+    pub spread: Option<SpreadPayload>,
     /// What it says about members.
     #[prost(message, optional, tag = "5")]
     pub membership: Option<MembershipPayload>,
@@ -36,6 +39,7 @@
             sender: sender.to_string(),
             incarnation: incarnation.0,
             head: (head != ConfigHead::default()).then(|| head.into()),
+            spread: None,
             membership: None,
         }
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -23,6 +23,11 @@
 mod peer_server;
 mod proto_error;
 mod refusal;
+mod spread_kind;
+mod spread_offer;
+mod spread_payload;
+mod transfer_reply;
+mod transfer_request;
 mod wire_head;
 mod wire_verdict;
 
@@ -51,6 +56,11 @@
     peer_server::PeerServer,
     proto_error::ProtoError,
     refusal::Refusal,
+    spread_kind::SpreadKind,
+    spread_offer::SpreadOffer,
+    spread_payload::{SpreadPayload, read_updates},
+    transfer_reply::TransferReply,
+    transfer_request::TransferRequest,
     wire_head::WireHead,
     wire_verdict::WireVerdict,
 };
--- a/crates/proto/src/proto_error.rs
+++ b/crates/proto/src/proto_error.rs
@@ -7,6 +7,8 @@
     Datagram(String),
     /// the datagram is not sealed with the fleet's key
     DatagramSeal,
+    /// `{0}` makes a delta unusable
+    Delta(String),
     /// `{0}` is not a fleet key of at least 16 characters
     FleetKey(String),
     /// `{0}` makes a word about a member unreadable
--- /dev/null
+++ b/crates/proto/src/spread_payload.rs
@@ -0,0 +1,54 @@
+use medlarspool_spread::{DeltaUpdate, SpreadMessage, read_update};
+use prost::Message;
+
+use crate::{ProtoError, SpreadKind, SpreadOffer};
+
+/// What one datagram says about changes.
+#[derive(Clone, Message, PartialEq)]
+pub struct SpreadPayload {
+    /// The message.
+    #[prost(oneof = "SpreadKind", tags = "1, 2, 3, 4")]
+    pub kind: Option<SpreadKind>,
+}
+
+impl From<&SpreadMessage> for SpreadPayload {
+    fn from(message: &SpreadMessage) -> Self {
+        let kind = match message {
+            SpreadMessage::Digest { reply_wanted } => SpreadKind::Digest(*reply_wanted),
+            SpreadMessage::Offer { updates } => SpreadKind::Offer(SpreadOffer {
+                deltas: updates.iter().map(|update| update.delta.to_vec()).collect(),
+            }),
+            SpreadMessage::Pull { base } => SpreadKind::Pull((*base).into()),
+            SpreadMessage::Referral => SpreadKind::Referral(true),
+        };
+        Self { kind: Some(kind) }
+    }
+}
+
+impl TryFrom<SpreadPayload> for SpreadMessage {
+    type Error = ProtoError;
+
+    fn try_from(payload: SpreadPayload) -> Result<Self, Self::Error> {
+        let kind = payload.kind.ok_or(ProtoError::PayloadMissing)?;
+        Ok(match kind {
+            SpreadKind::Digest(reply_wanted) => Self::Digest { reply_wanted },
+            SpreadKind::Offer(offer) => Self::Offer {
+                updates: read_updates(&offer.deltas)?,
+            },
+            SpreadKind::Pull(base) => Self::Pull { base: base.into() },
+            SpreadKind::Referral(_) => Self::Referral,
+        })
+    }
+}
+
+/// Reads deltas as they travel.
+///
+/// # Errors
+///
+/// Fails at the first that can't be read.
+pub fn read_updates(deltas: &[Vec<u8>]) -> Result<Vec<DeltaUpdate>, ProtoError> {
+    let read = |delta: &Vec<u8>| {
+        read_update(delta).map_err(|refusal| ProtoError::Delta(refusal.to_string()))
+    };
+    deltas.iter().map(read).collect()
+}
--- /dev/null
+++ b/crates/proto/src/transfer_reply.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use medlarspool_types::ConfigHead;
+use prost::Message;
+
+use crate::WireHead;
+
+/// Answers a request for a transfer.
+#[derive(Clone, Message, PartialEq)]
+pub struct TransferReply {
+    /// If it is not 0 the giver is busy, and the asker comes back within this time.
+    #[prost(uint64, tag = "1")]
+    pub retry_after_ms: u64,
+    /// The version that the answer leads to.
+    #[prost(message, optional, tag = "2")]
+    pub head: Option<WireHead>,
+    /// Consecutive deltas from the asker's version.
+    #[prost(bytes = "vec", repeated, tag = "3")]
+    pub deltas: Vec<Vec<u8>>,
+    /// The canonical encoding of the whole lists, if there are no deltas.
+    #[prost(bytes = "vec", tag = "4")]
+    pub lists: Vec<u8>,
+}
+
+impl TransferReply {
+    /// Returns the answer of a giver that has no transfer to spare.
+    #[must_use]
+    pub fn busy(retry_after: Duration) -> Self {
+        let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            retry_after_ms: retry_after_ms.max(1),
+            ..Self::default()
+        }
+    }
+
+    /// Returns when to come back, if the giver is busy.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        (self.retry_after_ms > 0).then(|| Duration::from_millis(self.retry_after_ms))
+    }
+
+    /// Returns the version that the answer leads to.
+    #[must_use]
+    pub fn head(&self) -> ConfigHead {
+        self.head.map_or_else(ConfigHead::default, Into::into)
+    }
+}
--- /dev/null
+++ b/crates/proto/tests/spread_wire.rs
@@ -0,0 +1,120 @@
+//! The wire form of what daemons say about changes.
+
+use std::sync::Arc;
+
+use medlarspool_config::{CredentialHash, CustomerEntry, Lists, PlanEntry, Snapshot};
+use medlarspool_proto::{Datagram, FleetKey, ProtoError, SpreadPayload};
+use medlarspool_spread::{SpreadMessage, update_between};
+use medlarspool_types::{ConfigHead, ConfigVersion, Incarnation};
+use proptest::prelude::*;
+use prost::Message;
+use rstest::rstest;
+
+fn snapshot(version: u64, customers: usize) -> Snapshot {
+    let customer = |at: usize| CustomerEntry {
+        credential_sha256: CredentialHash::of(&format!("secret {at}")),
+        customer: format!("customer-{at}").parse().unwrap(),
+        plan: "plan".parse().unwrap(),
+    };
+    let plan = PlanEntry {
+        plan: "plan".parse().unwrap(),
+        uses: Vec::new(),
+        weight: 1,
+    };
+    let customers = (0..customers).map(customer).collect();
+    let lists = Lists::new(customers, vec![plan], Vec::new()).unwrap();
+    let head = ConfigHead {
+        version: ConfigVersion(version),
+        digest: lists.digest(),
+    };
+    Snapshot::build(head, Arc::new(lists)).unwrap()
+}
+
+fn offer() -> SpreadMessage {
+    let (one, two) = (snapshot(1, 3), snapshot(2, 4));
+    let updates = vec![update_between(&one, &two)];
+    SpreadMessage::Offer { updates }
+}
+
+fn key(text: &str) -> FleetKey {
+    FleetKey::derive(text).unwrap()
+}
+
+fn sealed(message: &SpreadMessage) -> Vec<u8> {
+    let sender = "daemon-1".parse().unwrap();
+    let head = snapshot(2, 4).head();
+    let mut datagram = Datagram::from_sender(&sender, Incarnation(7), head);
+    datagram.spread = Some(message.into());
+    datagram.seal(&key("a key for this test"))
+}
+
+#[rstest]
+#[case::digest(SpreadMessage::Digest { reply_wanted: true })]
+#[case::offer(offer())]
+#[case::pull(SpreadMessage::Pull { base: snapshot(1, 3).head() })]
+#[case::referral(SpreadMessage::Referral)]
+fn a_message_arrives_as_it_was_sent(#[case] message: SpreadMessage) {
+    let datagram = Datagram::open(&key("a key for this test"), &sealed(&message)).unwrap();
+    assert_eq!(datagram.head(), snapshot(2, 4).head());
+    assert_eq!(datagram.sender, "daemon-1");
+    assert_eq!(
+        SpreadMessage::try_from(datagram.spread.unwrap()),
+        Ok(message)
+    );
+}
+
+#[test]
+fn a_digest_takes_few_bytes() {
+    let bytes = sealed(&SpreadMessage::Digest {
+        reply_wanted: false,
+    })
+    .len();
+    assert!(bytes <= 64, "{bytes} bytes");
+}
+
+#[test]
+fn another_key_opens_nothing() {
+    let opened = Datagram::open(&key("another key of a fleet"), &sealed(&offer()));
+    assert_eq!(opened, Err(ProtoError::DatagramSeal));
+}
+
+#[test]
+fn a_damaged_delta_is_refused() {
+    let mut payload = SpreadPayload::from(&offer()).encode_to_vec();
+    let last = payload.len() - 40;
+    payload.truncate(last);
+    assert!(SpreadPayload::decode(payload.as_slice()).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let sealed = key("a key for this test").seal(&bytes);
+        if let Ok(datagram) = Datagram::open(&key("a key for this test"), &sealed) {
+            let _ = datagram.spread.map(SpreadMessage::try_from);
+        }
+    }
+
+    #[test]
+    fn any_damage_of_a_datagram_is_found(at in any::<prop::sample::Index>(), flip in 1_u8..) {
+        let mut bytes = sealed(&offer());
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        prop_assert!(Datagram::open(&key("a key for this test"), &bytes).is_err());
+    }
+
+    #[test]
+    fn any_damage_inside_an_offer_is_read_or_refused(
+        at in any::<prop::sample::Index>(),
+        flip in 1_u8..,
+    ) {
+        let mut bytes = SpreadPayload::from(&offer()).encode_to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        if let Ok(payload) = SpreadPayload::decode(bytes.as_slice()) {
+            let _ = SpreadMessage::try_from(payload);
+        }
+    }
+}
--- a/crates/spread/src/store_poll.rs
+++ b/crates/spread/src/store_poll.rs
@@ -7,6 +7,9 @@
 /// The most that failures stretch the interval between reads.
 const MAX_BACK_OFF: u32 = 4;
 
+/// The longest wait, as a multiple of the mean interval.
+const MAX_JITTER: f64 = 3.0;
+
 /// Decides when this daemon reads the head from the store.
 #[derive(Debug)]
 pub(crate) struct StorePoll {
@@ -54,12 +57,12 @@
 
     fn schedule(&mut self, now: Instant, interval: Duration, random: &mut Rng) {
         self.reading = false;
-        self.next = now + interval.mul_f64(0.5 + random.f64());
+        self.next = now + interval.mul_f64(jitter(random));
     }
 
     /// Draws again if the fleet became so small that the next read lies too far away.
     pub(crate) fn shorten(&mut self, now: Instant, interval: Duration, random: &mut Rng) {
-        if self.next > now + interval.mul_f64(1.5 * f64::from(MAX_BACK_OFF)) {
+        if self.next > now + interval.mul_f64(MAX_JITTER * f64::from(MAX_BACK_OFF)) {
             self.next = now + interval.mul_f64(random.f64());
         }
     }
@@ -82,3 +85,10 @@
         }
     }
 }
+
+/// Draws from an exponential distribution, whose sum over the fleet is steady from the first moment.
+///
+/// Evenly distributed waits would come in waves after daemons began together.
+fn jitter(random: &mut Rng) -> f64 {
+    (-(1.0 - random.f64()).ln()).min(MAX_JITTER)
+}
