Wire membership into the daemon

Cause: daemons still found upstreams by rows that each wrote and read every second, which grows with the square of the fleet and stops with the store.

Change: the control actor drives the membership core over the datagram socket; the directory that calls choose from is built from it, for services that requests ask for; upstream rows are gone. A refused connection to a gate or to the upstream is told to the core; a planned stop says Leaving, stays reachable for one second, then says Left. `/members` shows the view. The detail of an upstream names the life of its gate, which refutations leave. A daemon that knows nobody reads all availability zones from its second read, and surely writes seed rows from its fourth.

--- a/crates/daemon/src/administration.rs
+++ b/crates/daemon/src/administration.rs
@@ -1,9 +1,15 @@
-use std::sync::Arc;
+use std::{
+    sync::{Arc, mpsc},
+    time::Duration,
+};
 
 use serde_json::json;
 use tiny_http::Request;
 
-use crate::{http_reply::HttpReply, shared::Shared};
+use crate::{control_message::ControlMessage, http_reply::HttpReply, shared::Shared};
+
+/// How long an operator waits for the control thread.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answers operators and scrapers on an address apart from the callers'.
 pub(crate) struct Administration {
@@ -20,6 +26,7 @@
                 HttpReply::text(401, "the operators' token is missing or wrong\n")
             }
             "/dump" => HttpReply::json(200, &self.dump()),
+            "/members" => self.members(),
             "/metrics" => HttpReply {
                 body: self.shared.metrics.text(),
                 headers: Vec::new(),
@@ -51,6 +58,15 @@
         })
     }
 
+    fn members(&self) -> HttpReply {
+        let (asker, answer) = mpsc::channel();
+        self.shared.tell_control(ControlMessage::DumpMembers(asker));
+        match answer.recv_timeout(DUMP_TIMEOUT) {
+            Ok(members) => HttpReply::json(200, &members),
+            Err(_) => HttpReply::text(503, "the control thread does not answer\n"),
+        }
+    }
+
     fn ready(&self) -> HttpReply {
         if self.shared.is_draining() {
             return HttpReply::text(503, "draining\n");
--- a/crates/daemon/src/announcements.rs
+++ b/crates/daemon/src/announcements.rs
@@ -2,7 +2,7 @@
 
 use tiny_http::{Method, Request};
 
-use crate::{Announcement, http_reply::HttpReply, shared::Shared};
+use crate::{Announcement, control_message::ControlMessage, http_reply::HttpReply, shared::Shared};
 
 /// The longest announcement in bytes.
 const MAX_ANNOUNCEMENT_BYTES: u64 = 16 * 1024;
@@ -33,7 +33,11 @@
             ),
             Ok(announcement) => {
                 let now = self.shared.clock.now();
-                self.shared.local_upstream.announce(announcement, now);
+                self.shared
+                    .local_upstream
+                    .announce(announcement.clone(), now);
+                self.shared
+                    .tell_control(ControlMessage::UpstreamAnnounced(announcement));
                 HttpReply::text(204, "")
             }
         }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -9,12 +9,13 @@
 };
 
 use medlarspool_config::Snapshot;
-use stakker::{CX, Stakker, actor, call, ret_nop};
+use medlarspool_membership::MembershipEvent;
+use medlarspool_proto::Datagram;
+use stakker::{CX, MinTimerKey, Stakker, actor, call, ret_nop, timer_min};
 
 use crate::{
     DaemonError, control_message::ControlMessage, datagram_socket::DatagramSocket,
-    directory::Directory, platform_job::PlatformJob, shared::Shared,
-    upstream_record::UpstreamRecord,
+    membership_agent::MembershipAgent, platform_job::PlatformJob, shared::Shared,
 };
 
 /// The longest that the control thread waits for a message.
@@ -22,10 +23,10 @@
 
 /// The actor that alone puts configurations and directories in use.
 pub(crate) struct Control {
+    membership: MembershipAgent,
+    membership_timer: MinTimerKey,
     platform: Sender<PlatformJob>,
     shared: Arc<Shared>,
-    #[expect(dead_code, reason = "nothing is sent until the membership is wired in")]
-    socket: Arc<DatagramSocket>,
 }
 
 impl Control {
@@ -53,51 +54,55 @@
         platform: Sender<PlatformJob>,
     ) -> Option<Self> {
         call!([cx], poll());
+        call!([cx], wake_membership());
         Some(Self {
+            membership: MembershipAgent::new(Arc::clone(&shared), socket, platform.clone()),
+            membership_timer: MinTimerKey::default(),
             platform,
             shared,
-            socket,
         })
     }
 
     fn handle(&mut self, cx: CX![], message: ControlMessage) {
         match message {
             ControlMessage::Configuration(snapshot) => self.put_in_use(snapshot),
+            ControlMessage::ConnectionRefused(instance) => self
+                .membership
+                .event(MembershipEvent::ConnectionRefused { instance }),
             ControlMessage::Datagram { address, sealed } => self.receive(address, &sealed),
+            ControlMessage::DumpMembers(asker) => {
+                if asker.send(self.membership.dump()).is_err() {
+                    log::debug!("nobody waits for the dump any more");
+                }
+            }
+            ControlMessage::Interest(service) => self.membership.take_interest(&service),
+            ControlMessage::Leave => self.membership.event(MembershipEvent::Leave),
             ControlMessage::PollDone => {
                 let interval = self.shared.settings.platform_poll_interval;
                 stakker::after!(interval, [cx], poll());
             }
-            ControlMessage::Stop => cx.stop(),
-            ControlMessage::Upstreams(records) => {
-                self.shared
-                    .directory
-                    .store(Arc::new(Directory::from_iter(records)));
+            ControlMessage::SeedRows {
+                availability_zone,
+                rows,
+            } => self.membership.seed_rows_read(availability_zone, rows),
+            ControlMessage::Stop => {
+                self.membership.event(MembershipEvent::Stop);
+                cx.stop();
+                return;
+            }
+            ControlMessage::UpstreamAnnounced(announcement) => {
+                self.membership.announce(&announcement);
+            }
+            ControlMessage::UpstreamRefused => {
+                self.membership.event(MembershipEvent::UpstreamRefused);
             }
         }
-    }
-
-    fn own_record(&self) -> Option<UpstreamRecord> {
-        let settings = &self.shared.settings;
-        let announced = self
-            .shared
-            .local_upstream
-            .current(self.shared.clock.now())?;
-        Some(UpstreamRecord {
-            availability_zone: settings.availability_zone.clone(),
-            draining: announced.announcement.draining || self.shared.is_draining(),
-            gate_address: settings.peers_address,
-            gate_incarnation: self.shared.incarnation,
-            instance: settings.instance.clone(),
-            service: announced.announcement.service,
-            slots: announced.announcement.slots,
-        })
+        self.schedule_membership(cx);
     }
 
     fn poll(&mut self, _: CX![]) {
         let job = PlatformJob::Poll {
             held: self.shared.held(),
-            own: self.own_record(),
         };
         if self.platform.send(job).is_err() {
             log::error!("the platform thread is gone");
@@ -105,12 +110,26 @@
     }
 
     fn receive(&mut self, address: SocketAddr, sealed: &[u8]) {
-        if self.shared.key.open(sealed).is_none() {
-            self.shared.metrics.datagrams_refused.inc();
-            log::debug!(address = address.to_string().as_str(); "a datagram's seal is not the fleet's");
+        match Datagram::open(&self.shared.key, sealed) {
+            Err(error) => {
+                self.shared.metrics.datagrams_refused.inc();
+                let (address, error) = (address.to_string(), error.to_string());
+                log::debug!(address = address.as_str(), error = error.as_str(); "datagram refused");
+            }
+            Ok(datagram) => self.membership.receive(address, datagram),
         }
     }
 
+    fn schedule_membership(&mut self, cx: CX![]) {
+        let next = self.membership.next_wakeup();
+        timer_min!(&mut self.membership_timer, next, [cx], wake_membership());
+    }
+
+    fn wake_membership(&mut self, cx: CX![]) {
+        self.membership.tick();
+        self.schedule_membership(cx);
+    }
+
     fn put_in_use(&mut self, snapshot: Arc<Snapshot>) {
         let head = snapshot.head();
         if head.version <= self.shared.held().version {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -30,6 +30,9 @@
 /// Workers of the administration and the announcement servers.
 const SIDE_WORKERS: usize = 2;
 
+/// How long a leaving daemon stays reachable, so that peers hear of it before they are refused.
+const LEAVE_LINGER: Duration = Duration::from_secs(1);
+
 /// A running daemon.
 pub struct Daemon {
     administration: BoundedServer,
@@ -53,10 +56,10 @@
         platform: Arc<dyn Platform>,
         clock: Arc<dyn Clock>,
     ) -> Result<Self, DaemonError> {
-        let shared = Arc::new(share(settings, clock)?);
+        let (control, control_messages) = mpsc::channel();
+        let shared = Arc::new(share(settings, clock, control.clone())?);
         let runtime = start_runtime()?;
         let gate = Arc::new(Gate::new(Arc::clone(&shared)));
-        let (control, control_messages) = mpsc::channel();
         let (jobs, job_queue) = mpsc::channel();
         let socket = Arc::new(DatagramSocket::bind(Arc::clone(&shared))?);
         let threads = vec![
@@ -96,6 +99,8 @@
     pub fn stop(self) {
         log::info!("draining");
         self.shared.draining.store(true, Ordering::Release);
+        self.shared.tell_control(ControlMessage::Leave);
+        std::thread::sleep(LEAVE_LINGER.min(self.shared.settings.drain_timeout));
         drop(self.callers);
         drop(self.announcements);
         if self.peers_stop.send(()).is_err() {
@@ -151,7 +156,11 @@
     Ok(())
 }
 
-fn share(settings: Settings, clock: Arc<dyn Clock>) -> Result<Shared, DaemonError> {
+fn share(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    control: Sender<ControlMessage>,
+) -> Result<Shared, DaemonError> {
     let started = clock.system_now().duration_since(SystemTime::UNIX_EPOCH);
     let started_us = started.unwrap_or_default().as_micros();
     let key = FleetKey::derive(&settings.fleet_key)
@@ -159,6 +168,7 @@
     let metrics = Metrics::new().map_err(|error| DaemonError::Thread(error.to_string()))?;
     Ok(Shared {
         clock,
+        control,
         directory: ArcSwap::from_pointee(Directory::default()),
         draining: AtomicBool::new(false),
         incarnation: Incarnation(u64::try_from(started_us).unwrap_or(u64::MAX)),
--- a/crates/daemon/src/datagram_socket.rs
+++ b/crates/daemon/src/datagram_socket.rs
@@ -50,7 +50,6 @@
     }
 
     /// Sends a sealed datagram; one that the kernel doesn't take counts as lost on the way.
-    #[expect(dead_code, reason = "nothing is sent until the membership is wired in")]
     pub(crate) fn send(&self, address: SocketAddr, sealed: &[u8]) {
         if self.socket.send_to(sealed, address).is_err() {
             self.shared.metrics.datagrams_unsent.inc();
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -9,10 +9,11 @@
 use medlarspool_types::{CallId, ServiceName, Verdict};
 use tiny_http::Request;
 use tokio::runtime::Handle;
+use tonic::Code;
 
 use crate::{
-    gate::Gate, http_reply::HttpReply, peer_pool::PeerPool, shared::Shared,
-    upstream_client::is_end_to_end, upstream_record::UpstreamRecord,
+    control_message::ControlMessage, gate::Gate, http_reply::HttpReply, peer_pool::PeerPool,
+    shared::Shared, upstream_client::is_end_to_end, upstream_record::UpstreamRecord,
 };
 
 /// The pause before a request that did not run is tried again.
@@ -121,12 +122,22 @@
         };
         self.runtime
             .block_on(client.call(call, timeout))
-            .unwrap_or_else(|_| CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed))
+            .unwrap_or_else(|status| {
+                if status.code() == Code::Unavailable {
+                    let refused = ControlMessage::ConnectionRefused(upstream.instance);
+                    self.shared.tell_control(refused);
+                }
+                CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed)
+            })
     }
 
     fn choose(&self, service: &str) -> Option<UpstreamRecord> {
         let service: ServiceName = service.parse().ok()?;
         let directory = self.shared.directory.load();
+        if directory.of(&service).is_empty() {
+            self.shared
+                .tell_control(ControlMessage::Interest(service.clone()));
+        }
         let serving: Vec<_> = directory
             .of(&service)
             .iter()
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -4,7 +4,10 @@
 use medlarspool_proto::{CallReply, CallRequest, LoadReport, Refusal, WireHead};
 use medlarspool_types::{CustomerId, ServiceName, Verdict};
 
-use crate::{local_upstream::Announced, shared::Shared, upstream_client::UpstreamClient};
+use crate::{
+    control_message::ControlMessage, local_upstream::Announced, shared::Shared,
+    upstream_client::UpstreamClient,
+};
 
 /// When a refused caller is told to come back.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -100,8 +103,13 @@
             drop(slot);
             reply
         });
-        running
+        let reply = running
             .await
-            .unwrap_or_else(|_| CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed))
+            .unwrap_or_else(|_| CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed));
+        let is_refused = reply.typed_verdict() == Verdict::NotRun;
+        if is_refused && reply.refusal() == Refusal::UpstreamFailed {
+            self.shared.tell_control(ControlMessage::UpstreamRefused);
+        }
+        reply
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,8 @@
 mod gate;
 mod http_reply;
 mod local_upstream;
+mod membership_agent;
+mod membership_seeds;
 mod metrics;
 mod peer_edge;
 mod peer_pool;
--- /dev/null
+++ b/crates/daemon/src/membership_agent.rs
@@ -0,0 +1,249 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, mpsc::Sender},
+    time::Instant,
+};
+
+use medlarspool_membership::{
+    Member, MemberState, Membership, MembershipAction, MembershipEvent, MembershipSettings,
+    Message, SeedRow, UpstreamAnnouncement, UpstreamState, UpstreamView,
+};
+use medlarspool_proto::{Datagram, MembershipPayload};
+use medlarspool_types::{AvailabilityZone, Incarnation, ServiceName};
+use serde_json::json;
+
+use crate::{
+    Announcement, datagram_socket::DatagramSocket, directory::Directory, platform_job::PlatformJob,
+    shared::Shared, upstream_record::UpstreamRecord,
+};
+
+/// Carries out what the membership core asks for, and tells it what happens.
+pub(crate) struct MembershipAgent {
+    announced: Option<Announcement>,
+    core: Membership,
+    generation: u64,
+    interests: Vec<ServiceName>,
+    platform: Sender<PlatformJob>,
+    shared: Arc<Shared>,
+    socket: Arc<DatagramSocket>,
+}
+
+impl MembershipAgent {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        socket: Arc<DatagramSocket>,
+        platform: Sender<PlatformJob>,
+    ) -> Self {
+        let settings = &shared.settings;
+        let me = Member {
+            availability_zone: settings.availability_zone.clone(),
+            call_address: settings.peers_address,
+            control_address: settings.peers_address,
+            incarnation: shared.incarnation,
+            instance: settings.instance.clone(),
+            region: settings.region.clone(),
+        };
+        let seed = shared.incarnation.0 ^ u64::from(std::process::id());
+        let now = shared.clock.now();
+        Self {
+            announced: None,
+            core: Membership::new(MembershipSettings::default(), me, seed, now),
+            generation: 0,
+            interests: Vec::new(),
+            platform,
+            shared,
+            socket,
+        }
+    }
+
+    /// Takes what the local upstream said of itself.
+    pub(crate) fn announce(&mut self, announcement: &Announcement) {
+        let held = self.announced.replace(announcement.clone());
+        let is_same_life = held.is_some_and(|held| {
+            held.address == announcement.address && held.draining <= announcement.draining
+        });
+        if !is_same_life {
+            self.generation += 1;
+        }
+        let upstream = UpstreamAnnouncement {
+            cold: announcement.cold,
+            generation: self.generation,
+            service: announcement.service.clone(),
+            slots: announcement.slots,
+        };
+        self.take_interest(&announcement.service);
+        self.event(MembershipEvent::UpstreamAnnounced(upstream));
+        if announcement.draining {
+            self.event(MembershipEvent::UpstreamLeaving);
+        }
+    }
+
+    /// Returns what is known of the members, for an operator.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let now = self.shared.clock.now();
+        let members = self.core.members().map(|member| {
+            let words = member.announcement;
+            json!({
+                "address": words.member.control_address,
+                "availability_zone": words.member.availability_zone,
+                "incarnation": words.member.incarnation,
+                "instance": words.member.instance,
+                "sequence": words.sequence,
+                "state": member.state,
+                "upstream": words.upstream,
+            })
+        });
+        json!({
+            "counters": self.core.counters(),
+            "interests": self.interests,
+            "lease_valid": self.core.lease_valid(now),
+            "living": self.core.living(),
+            "local_health_score": self.core.local_health_score(),
+            "members": members.collect::<Vec<_>>(),
+            "pending_news": self.core.pending_news(),
+            "view_digest": format!("{:016x}", self.core.view_digest()),
+        })
+    }
+
+    /// Hands an event to the core and does what it asks for.
+    pub(crate) fn event(&mut self, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        self.core
+            .handle(self.shared.clock.now(), event, &mut actions);
+        let mut is_directory_old = false;
+        for action in actions {
+            is_directory_old |= self.act(action);
+        }
+        if is_directory_old {
+            self.put_directory_in_use();
+        }
+    }
+
+    pub(crate) fn next_wakeup(&self) -> Instant {
+        self.core.next_wakeup()
+    }
+
+    /// Takes a datagram about members.
+    pub(crate) fn receive(&mut self, address: SocketAddr, datagram: Datagram) {
+        let message = datagram.membership.map(Message::try_from);
+        let (Some(Ok(message)), Ok(sender)) = (message, datagram.sender.parse()) else {
+            self.shared.metrics.datagrams_refused.inc();
+            return;
+        };
+        self.event(MembershipEvent::Received {
+            address,
+            incarnation: Incarnation(datagram.incarnation),
+            message,
+            sender,
+        });
+    }
+
+    pub(crate) fn seed_rows_read(
+        &mut self,
+        availability_zone: Option<AvailabilityZone>,
+        rows: Option<Vec<SeedRow>>,
+    ) {
+        let event = match rows {
+            Some(rows) => MembershipEvent::SeedRowsRead {
+                availability_zone,
+                rows,
+                system_now: self.shared.clock.system_now(),
+            },
+            None => MembershipEvent::SeedRowsUnavailable,
+        };
+        self.event(event);
+    }
+
+    /// Begins to hold the detail of a service, because a request needs it.
+    pub(crate) fn take_interest(&mut self, service: &ServiceName) {
+        if !self.interests.contains(service) {
+            self.interests.push(service.clone());
+            self.event(MembershipEvent::InterestBegan(service.clone()));
+            self.put_directory_in_use();
+        }
+    }
+
+    /// Does what has come due.
+    pub(crate) fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        if self.announced.is_some() && self.shared.local_upstream.current(now).is_none() {
+            self.announced = None;
+            self.event(MembershipEvent::UpstreamLapsed);
+        }
+        self.event(MembershipEvent::Tick);
+        self.shared
+            .metrics
+            .record_membership(self.core.living(), &self.core.counters());
+    }
+
+    /// Does one thing and returns whether the directory must be built anew.
+    fn act(&self, action: MembershipAction) -> bool {
+        match action {
+            MembershipAction::MemberChanged {
+                instance, state, ..
+            } => {
+                log_state(instance.as_str(), state);
+                true
+            }
+            MembershipAction::ReadSeedRows { availability_zone } => {
+                self.ask_platform(PlatformJob::ReadSeedRows { availability_zone });
+                false
+            }
+            MembershipAction::Send { address, message } => {
+                self.send(address, &message);
+                false
+            }
+            MembershipAction::ServiceChanged { .. } => true,
+            MembershipAction::WriteSeedRow { replaces, row } => {
+                self.ask_platform(PlatformJob::WriteSeedRow { replaces, row });
+                false
+            }
+        }
+    }
+
+    fn ask_platform(&self, job: PlatformJob) {
+        if self.platform.send(job).is_err() {
+            log::error!("the platform thread is gone");
+        }
+    }
+
+    fn put_directory_in_use(&self) {
+        let upstreams = self.interests.iter().flat_map(|service| {
+            let upstreams = self.core.upstreams(service);
+            upstreams.filter_map(|upstream| record(service, &upstream))
+        });
+        let directory: Directory = upstreams.collect();
+        self.shared.directory.store(Arc::new(directory));
+    }
+
+    fn send(&self, address: SocketAddr, message: &Message) {
+        let me = &self.core.me().member;
+        let held = self.shared.held();
+        let mut datagram = Datagram::from_sender(&me.instance, me.incarnation, held);
+        datagram.membership = Some(MembershipPayload::from(message));
+        self.socket.send(address, &datagram.seal(&self.shared.key));
+    }
+}
+
+fn log_state(instance: &str, state: MemberState) {
+    let state = state.to_string();
+    log::info!(instance, state = state.as_str(); "member");
+}
+
+/// Returns what calls need of an upstream; nothing until its detail is known.
+fn record(service: &ServiceName, upstream: &UpstreamView<'_>) -> Option<UpstreamRecord> {
+    let detail = upstream.detail?;
+    let words = upstream.announcement;
+    if !upstream.state.is_living() || words.upstream == UpstreamState::Absent {
+        return None;
+    }
+    Some(UpstreamRecord {
+        availability_zone: words.member.availability_zone.clone(),
+        draining: !upstream.takes_work(),
+        gate_address: words.member.call_address,
+        gate_incarnation: detail.life,
+        instance: words.member.instance.clone(),
+        service: service.clone(),
+        slots: detail.slots,
+    })
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,4 +1,7 @@
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use medlarspool_membership::MembershipCounters;
+use prometheus::{
+    Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 /// The daemon's counters; none has a label that grows with customers.
 pub(crate) struct Metrics {
@@ -12,6 +15,8 @@
     pub(crate) datagrams_refused: IntCounter,
     pub(crate) datagrams_sent: IntCounter,
     pub(crate) datagrams_unsent: IntCounter,
+    membership_events: IntGaugeVec,
+    members_living: IntGauge,
     pub(crate) store_failures: IntCounter,
     pub(crate) store_reads: IntCounter,
     pub(crate) store_writes: IntCounter,
@@ -37,6 +42,19 @@
             "medlarspool_config_version",
             "The version of the configuration in use, in accepted changes",
         )?;
+        let members_living = IntGauge::new(
+            "medlarspool_members_living",
+            "Members that this daemon sees as living, itself among them, in daemons",
+        )?;
+        let membership_events = IntGaugeVec::new(
+            Opts::new(
+                "medlarspool_membership_events",
+                "What membership did since the start, by kind, in events",
+            ),
+            &["kind"],
+        )?;
+        registry.register(Box::new(members_living.clone()))?;
+        registry.register(Box::new(membership_events.clone()))?;
         registry.register(Box::new(calls.clone()))?;
         registry.register(Box::new(config_version.clone()))?;
         Ok(Self {
@@ -74,6 +92,8 @@
                 "medlarspool_datagrams_unsent_total",
                 "Control datagrams that the kernel did not take, in datagrams",
             )?,
+            membership_events,
+            members_living,
             store_failures: counter(
                 "medlarspool_store_failures_total",
                 "Failed requests to the platform's store, in requests",
@@ -90,6 +110,30 @@
         })
     }
 
+    /// Takes over the counts of the membership core.
+    pub(crate) fn record_membership(&self, living: usize, counters: &MembershipCounters) {
+        self.members_living
+            .set(i64::try_from(living).unwrap_or(i64::MAX));
+        let kinds = [
+            ("busy_reply", counters.busy_replies),
+            ("death_found", counters.deaths_found),
+            ("digest_mismatch", counters.digest_mismatches),
+            ("probe_failed", counters.probes_failed),
+            ("probe_sent", counters.probes_sent),
+            ("refutation", counters.refutations),
+            ("seed_read", counters.seed_reads),
+            ("seed_write", counters.seed_writes),
+            ("state_page_given", counters.state_pages_given),
+            ("state_page_requested", counters.state_pages_requested),
+            ("suspicion_begun", counters.suspicions_begun),
+            ("suspicion_refuted", counters.suspicions_refuted),
+        ];
+        for (kind, count) in kinds {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.membership_events.with_label_values(&[kind]).set(count);
+        }
+    }
+
     /// Returns all metrics in Prometheus' text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/daemon/src/platform_worker.rs
+++ b/crates/daemon/src/platform_worker.rs
@@ -7,19 +7,18 @@
 };
 
 use medlarspool_config::Snapshot;
-use medlarspool_platform::{
-    Platform, PlatformError, RowCondition, RowWrite, read_head, read_lists,
-};
-use medlarspool_types::ConfigHead;
+use medlarspool_membership::SeedRow;
+use medlarspool_platform::{Platform, PlatformError, read_head, read_lists};
+use medlarspool_types::{AvailabilityZone, ConfigHead};
 
 use crate::{
-    DaemonError, control_message::ControlMessage, platform_job::PlatformJob, shared::Shared,
-    upstream_record::UpstreamRecord,
+    DaemonError,
+    control_message::ControlMessage,
+    membership_seeds::{read_seed_rows, write_seed_row},
+    platform_job::PlatformJob,
+    shared::Shared,
 };
 
-/// The most upstream rows that one read asks for.
-const MAX_UPSTREAM_ROWS: usize = 10_000;
-
 /// The thread that alone waits for the platform, so that a slow store holds up nothing else.
 pub(crate) struct PlatformWorker {
     control: Sender<ControlMessage>,
@@ -48,39 +47,47 @@
     fn serve(&self, jobs: &Receiver<PlatformJob>) {
         for job in jobs {
             match job {
-                PlatformJob::Poll { held, own } => self.poll(held, own.as_ref()),
+                PlatformJob::Poll { held } => self.poll(held),
+                PlatformJob::ReadSeedRows { availability_zone } => {
+                    self.read_seed_rows(availability_zone);
+                }
+                PlatformJob::WriteSeedRow { replaces, row } => {
+                    self.write_seed_row(replaces.as_ref(), &row);
+                }
             }
         }
     }
 
-    fn poll(&self, held: ConfigHead, own: Option<&UpstreamRecord>) {
-        let outcome = self
-            .exchange_upstreams(own)
-            .and_then(|()| self.fetch_newer(held));
-        if let Err(error) = outcome {
-            self.shared.metrics.store_failures.inc();
-            log::debug!(error = error.to_string().as_str(); "the store can't be read");
+    fn poll(&self, held: ConfigHead) {
+        if let Err(error) = self.fetch_newer(held) {
+            self.count_failure(&error);
         }
         self.tell(ControlMessage::PollDone);
     }
 
-    fn exchange_upstreams(&self, own: Option<&UpstreamRecord>) -> Result<(), PlatformError> {
-        if let Some(own) = own {
-            self.shared.metrics.store_writes.inc();
-            self.platform.transact(&[RowWrite {
-                condition: RowCondition::Any,
-                key: format!("upstreams/{}", own.instance),
-                value: serde_json::to_string(own).ok(),
-            }])?;
+    fn count_failure(&self, error: &PlatformError) {
+        self.shared.metrics.store_failures.inc();
+        log::debug!(error = error.to_string().as_str(); "the store failed");
+    }
+
+    fn read_seed_rows(&self, availability_zone: Option<AvailabilityZone>) {
+        self.shared.metrics.store_reads.inc();
+        let rows = read_seed_rows(self.platform.as_ref(), availability_zone.as_ref());
+        if let Err(error) = &rows {
+            self.count_failure(error);
         }
+        self.tell(ControlMessage::SeedRows {
+            availability_zone,
+            rows: rows.ok(),
+        });
+    }
+
+    fn write_seed_row(&self, replaces: Option<&SeedRow>, row: &SeedRow) {
         self.shared.metrics.store_reads.inc();
-        let rows = self.platform.rows("upstreams/", MAX_UPSTREAM_ROWS)?;
-        let records = rows
-            .iter()
-            .filter_map(|row| serde_json::from_str(&row.value).ok())
-            .collect();
-        self.tell(ControlMessage::Upstreams(records));
-        Ok(())
+        self.shared.metrics.store_writes.inc();
+        if let Err(error) = write_seed_row(self.platform.as_ref(), replaces, row) {
+            self.count_failure(&error);
+        }
     }
 
     fn fetch_newer(&self, held: ConfigHead) -> Result<(), PlatformError> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,6 +1,7 @@
 use std::sync::{
     Arc,
     atomic::{AtomicBool, Ordering},
+    mpsc::Sender,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -8,11 +9,15 @@
 use medlarspool_proto::FleetKey;
 use medlarspool_types::{Clock, ConfigHead, Incarnation};
 
-use crate::{Settings, directory::Directory, local_upstream::LocalUpstream, metrics::Metrics};
+use crate::{
+    Settings, control_message::ControlMessage, directory::Directory, local_upstream::LocalUpstream,
+    metrics::Metrics,
+};
 
 /// What the daemon's edges and its control thread share.
 pub(crate) struct Shared {
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) control: Sender<ControlMessage>,
     pub(crate) directory: ArcSwap<Directory>,
     pub(crate) draining: AtomicBool,
     pub(crate) incarnation: Incarnation,
@@ -33,6 +38,13 @@
             .map_or_else(ConfigHead::default, |snapshot| snapshot.head())
     }
 
+    /// Tells the control thread something; once that has ended, nobody needs to know.
+    pub(crate) fn tell_control(&self, message: ControlMessage) {
+        if self.control.send(message).is_err() {
+            log::debug!("the control thread is gone");
+        }
+    }
+
     /// Returns whether the daemon has drained and its threads end.
     pub(crate) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Acquire)
--- a/crates/membership/src/detailing.rs
+++ b/crates/membership/src/detailing.rs
@@ -32,6 +32,14 @@
             .or_insert_with(|| Interest::new(service, now));
     }
 
+    /// Asks soon for the detail of a service whose upstreams changed.
+    pub(crate) fn hasten_interest(&mut self, service: ServiceKey, now: Instant) {
+        let wait = jitter(self.settings.probe_interval, &mut self.random);
+        if let Some(interest) = self.interests.get_mut(&service) {
+            interest.next_request = interest.next_request.min(now + wait);
+        }
+    }
+
     pub(crate) fn end_interest(&mut self, service: &ServiceName) {
         let key = ServiceKey::from(service);
         if self.me.service != Some(key) {
@@ -107,6 +115,7 @@
             generation: upstream.generation,
             incarnation: me.incarnation,
             instance: me.instance.clone(),
+            life: self.life,
             sequence,
             slots: upstream.slots,
         };
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -60,6 +60,7 @@
         }
         self.report(&instance, before, actions);
         if let Some(service) = service {
+            self.hasten_interest(service, now);
             actions.push(MembershipAction::ServiceChanged { service });
         }
     }
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -95,7 +95,7 @@
 const BASE_BYTES: usize = 48;
 
 /// The most bytes of a detail on the wire beside its instance.
-const DETAIL_BYTES: usize = 50;
+const DETAIL_BYTES: usize = 61;
 
 impl Message {
     /// Returns the most bytes that the message takes on the wire, without envelope and framing.
--- a/crates/membership/src/seeding.rs
+++ b/crates/membership/src/seeding.rs
@@ -13,8 +13,9 @@
 /// The reads after which a daemon that knows nobody takes rows of silent daemons for lapsed.
 const READS_BEFORE_DISTRUST: u32 = 4;
 
-/// One lonely daemon in so many writes at each of its reads, so that a herd does not race.
-const LONELY_WRITERS: u32 = 4;
+/// The reads after which each daemon that knows nobody writes; before, only some do, so that a herd
+/// does not race.
+const READS_BEFORE_ALL_WRITE: u32 = 4;
 
 impl Membership {
     pub(crate) fn advance_seeds(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
@@ -23,7 +24,7 @@
         }
         if self.is_lonely() {
             self.seeds.schedule_lonely(now, &mut self.random);
-            let reads_all = self.seeds.lonely_reads.is_multiple_of(2);
+            let reads_all = self.seeds.lonely_reads > 1;
             let own = self.me.member.availability_zone.clone();
             self.read_seed_rows((!reads_all).then_some(own), actions);
             return;
@@ -84,7 +85,9 @@
         if !self.is_lonely() {
             return true;
         }
-        self.seeds.lonely_reads >= READS_BEFORE_WRITE && self.random.u32(..LONELY_WRITERS) == 0
+        let reads = self.seeds.lonely_reads.min(READS_BEFORE_ALL_WRITE);
+        let rivals = 1 << (READS_BEFORE_ALL_WRITE - reads);
+        reads >= READS_BEFORE_WRITE && self.random.u32(..rivals) == 0
     }
 
     /// Returns whether a row should be renewed or taken over by whoever reads it.
--- a/crates/membership/src/upstream_detail.rs
+++ b/crates/membership/src/upstream_detail.rs
@@ -12,6 +12,8 @@
     pub incarnation: Incarnation,
     /// The daemon beside the upstream.
     pub instance: InstanceId,
+    /// The incarnation with which the daemon's process began, which refutations leave as it is.
+    pub life: Incarnation,
     /// Counts the changes of this detail within one incarnation.
     pub sequence: u64,
     /// The requests that the upstream runs at once.
--- a/crates/proto/src/membership_detail.rs
+++ b/crates/proto/src/membership_detail.rs
@@ -25,6 +25,9 @@
     /// The requests that the upstream runs at once.
     #[prost(uint32, tag = "6")]
     pub slots: u32,
+    /// The incarnation with which the daemon's process began.
+    #[prost(uint64, tag = "7")]
+    pub life: u64,
 }
 
 impl From<&UpstreamDetail> for WireDetail {
@@ -34,6 +37,7 @@
             generation: detail.generation,
             incarnation: detail.incarnation.0,
             instance: detail.instance.to_string(),
+            life: detail.life.0,
             sequence: detail.sequence,
             slots: detail.slots,
         }
@@ -49,6 +53,7 @@
             generation: wire.generation,
             incarnation: Incarnation(wire.incarnation),
             instance: read_text(wire.instance)?,
+            life: Incarnation(wire.life),
             sequence: wire.sequence,
             slots: wire.slots,
         })
--- a/crates/proto/tests/membership.rs
+++ b/crates/proto/tests/membership.rs
@@ -71,13 +71,16 @@
 }
 
 fn detail() -> impl Strategy<Value = UpstreamDetail> {
-    (any::<(bool, u64, u64, u64, u32)>(), text()).prop_map(|(numbers, instance)| UpstreamDetail {
-        cold: numbers.0,
-        generation: numbers.1,
-        incarnation: Incarnation(numbers.2),
-        instance: instance.parse().unwrap(),
-        sequence: numbers.3,
-        slots: numbers.4,
+    (any::<(bool, u64, u64, u64, u32, u64)>(), text()).prop_map(|(numbers, instance)| {
+        UpstreamDetail {
+            cold: numbers.0,
+            generation: numbers.1,
+            incarnation: Incarnation(numbers.2),
+            instance: instance.parse().unwrap(),
+            life: Incarnation(numbers.5),
+            sequence: numbers.3,
+            slots: numbers.4,
+        }
     })
 }
 
