--- /dev/null
+++ b/crates/bench/benches/daemon_cost.rs
@@ -0,0 +1,162 @@
+//! What a daemon costs for control: memory, processor time and bytes, at several fleet and list sizes.
+//!
+//! `cargo bench -p medlarspool-bench --bench daemon_cost [-- SIZE...]`. The bounds are the stated ones for
+//! two years out, at the size to which the fit is extended. See docs/CAPACITY.md.
+
+use std::process::ExitCode;
+
+use medlarspool_bench::{
+    DaemonCost, Figures, LinearFit, ProcessFleet, SampleLists, daemon_cost_fleet, program_paths,
+    wait_for_version,
+};
+
+/// The daemons at the two-year size.
+const FLEET: f64 = 5_800.0;
+
+/// The stated limits of one daemon.
+const MAX_CONTROL_BYTES_PER_S: f64 = 18_000.0;
+const MAX_CORE_PERCENT: f64 = 1.8;
+const MAX_RESIDENT_MB: f64 = 256.0;
+
+/// A tenth of the store's reads a second, for the whole fleet.
+const MAX_STORE_REQUESTS_PER_S: f64 = 200.0;
+
+const BYTES_PER_MB: f64 = 1_000_000.0;
+const PERCENT: f64 = 100.0;
+
+/// Customers in the lists while the fleet grows.
+const CUSTOMERS: usize = 1_000;
+
+/// Customers in the lists of a small fleet.
+const LIST_SIZES: [usize; 3] = [1_000, 10_000, 100_000];
+
+/// Daemons while the lists grow.
+const SMALL_FLEET: usize = 25;
+
+const SEED: u64 = 11;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(figures) if figures.print_bound() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("daemon_cost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<Figures, String> {
+    let mut figures = Figures::default();
+    let mut by_fleet = Vec::new();
+    for daemons in fleet_sizes() {
+        let cost = measure(&mut figures, daemons, CUSTOMERS)?;
+        by_fleet.push((daemons, cost));
+    }
+    derive(&mut figures, &by_fleet);
+    for customers in LIST_SIZES {
+        let cost = measure(&mut figures, SMALL_FLEET, customers)?;
+        let name = format!("limit_{customers}_customers");
+        let resident_mb = cost.resident_bytes / BYTES_PER_MB;
+        figures.add_bounded(
+            format!("{name}_resident"),
+            resident_mb,
+            "MB",
+            MAX_RESIDENT_MB,
+        );
+        let core_percent = cost.core_share * PERCENT;
+        figures.add_bounded(
+            format!("{name}_core"),
+            core_percent,
+            "percent",
+            MAX_CORE_PERCENT,
+        );
+    }
+    figures.print();
+    Ok(figures)
+}
+
+/// Extends the lines through the measured fleets to the two-year size.
+fn derive(figures: &mut Figures, by_fleet: &[(usize, DaemonCost)]) {
+    let mut extend = |name: &str, unit, limit, value: fn(&DaemonCost) -> f64| {
+        let points: Vec<_> = by_fleet
+            .iter()
+            .map(|(daemons, cost)| [as_f64(*daemons), value(cost)])
+            .collect();
+        let fit = LinearFit::of(&points);
+        figures.add(
+            format!("{name}_slope_per_1000_daemons"),
+            fit.slope * 1000.0,
+            unit,
+        );
+        figures.add(format!("{name}_spread"), fit.spread, unit);
+        figures.add_bounded(
+            format!("{name}_at_5800_daemons"),
+            fit.at(FLEET),
+            unit,
+            limit,
+        );
+    };
+    extend("control", "bytes_per_s", MAX_CONTROL_BYTES_PER_S, |cost| {
+        cost.control_bytes_per_s
+    });
+    extend("core", "percent", MAX_CORE_PERCENT, |cost| {
+        cost.core_share * PERCENT
+    });
+    extend("resident", "MB", MAX_RESIDENT_MB, |cost| {
+        cost.resident_bytes / BYTES_PER_MB
+    });
+    extend(
+        "store",
+        "requests_per_s",
+        MAX_STORE_REQUESTS_PER_S,
+        |cost| cost.store_requests_per_s,
+    );
+}
+
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn fleet_sizes() -> Vec<usize> {
+    let named: Vec<usize> = std::env::args()
+        .filter_map(|word| word.parse().ok())
+        .collect();
+    if named.is_empty() {
+        return vec![25, 50, 100, 200];
+    }
+    named
+}
+
+/// Measures one fleet and returns what it costs under the two-year rate of change.
+fn measure(figures: &mut Figures, daemons: usize, customers: usize) -> Result<DaemonCost, String> {
+    let mut fleet = ProcessFleet::start(program_paths!())?;
+    let mut lists = SampleLists::new(customers, SEED);
+    fleet.commit(lists.lists())?;
+    daemon_cost_fleet(&mut fleet, daemons)?;
+    let mut show = |phase: &str, cost: &DaemonCost| {
+        let name = format!("{daemons}_daemons_{customers}_customers_{phase}");
+        figures.add(
+            format!("{name}_control"),
+            cost.control_bytes_per_s,
+            "bytes_per_s",
+        );
+        figures.add(format!("{name}_core"), cost.core_share * PERCENT, "percent");
+        figures.add(
+            format!("{name}_resident"),
+            cost.resident_bytes / BYTES_PER_MB,
+            "MB",
+        );
+        figures.add(
+            format!("{name}_store"),
+            cost.store_requests_per_s,
+            "requests_per_s",
+        );
+    };
+    show("joining", &DaemonCost::joining(&fleet, 1)?);
+    show("idle", &DaemonCost::idle(&fleet)?);
+    let changing = DaemonCost::changing(&fleet, &mut lists)?;
+    show("changing", &changing);
+    wait_for_version(&fleet, 2)?;
+    Ok(changing)
+}
--- /dev/null
+++ b/crates/bench/src/daemon_cost.rs
@@ -0,0 +1,152 @@
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{ProcessFleet, ProcessSample, SampleLists, ScrapedMetrics};
+
+/// The accepted changes a day at the two-year size.
+const CHANGES_PER_DAY: u32 = 12_000;
+
+/// How long one phase is measured.
+const PHASE: Duration = Duration::from_secs(15);
+
+/// How long all daemons get to hold a version.
+const SPREAD_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// What one daemon costs in one phase, on average over the fleet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DaemonCost {
+    /// Control bytes a second, both directions, framing included.
+    pub control_bytes_per_s: f64,
+    /// Processor time as a share of one core.
+    pub core_share: f64,
+    /// The largest resident memory of any daemon in bytes.
+    pub resident_bytes: f64,
+    /// Store requests a second of the whole fleet.
+    pub store_requests_per_s: f64,
+}
+
+impl DaemonCost {
+    /// Measures a fleet that nothing happens to.
+    ///
+    /// # Errors
+    ///
+    /// Returns which daemon can't be sampled.
+    pub fn idle(fleet: &ProcessFleet) -> Result<Self, String> {
+        Self::during(fleet, || {
+            thread::sleep(PHASE);
+            Ok(())
+        })
+    }
+
+    /// Measures a fleet to which changes are put at the two-year rate.
+    ///
+    /// # Errors
+    ///
+    /// Returns what refused a change or which daemon can't be sampled.
+    pub fn changing(fleet: &ProcessFleet, lists: &mut SampleLists) -> Result<Self, String> {
+        let interval = Duration::from_hours(24) / CHANGES_PER_DAY;
+        Self::during(fleet, || {
+            let until = Instant::now() + PHASE;
+            while Instant::now() < until {
+                lists.change(1);
+                fleet.commit(lists.lists())?;
+                thread::sleep(interval.min(until.saturating_duration_since(Instant::now())));
+            }
+            Ok(())
+        })
+    }
+
+    /// Measures from now until all daemons hold a version, which is how a start costs.
+    ///
+    /// # Errors
+    ///
+    /// Returns which daemon doesn't get there.
+    pub fn joining(fleet: &ProcessFleet, version: u64) -> Result<Self, String> {
+        let started_at = Instant::now();
+        wait_for_version(fleet, version)?;
+        let end = Totals::of(fleet)?;
+        Ok(Totals::default().cost(&end, fleet.daemons.len(), started_at.elapsed()))
+    }
+
+    fn during(
+        fleet: &ProcessFleet,
+        body: impl FnOnce() -> Result<(), String>,
+    ) -> Result<Self, String> {
+        let before = Totals::of(fleet)?;
+        let started_at = Instant::now();
+        body()?;
+        let elapsed = started_at.elapsed();
+        let after = Totals::of(fleet)?;
+        Ok(before.cost(&after, fleet.daemons.len(), elapsed))
+    }
+}
+
+/// Returns once every daemon of the fleet holds at least a version.
+///
+/// # Errors
+///
+/// Returns which daemon doesn't hold it in time.
+pub fn wait_for_version(fleet: &ProcessFleet, version: u64) -> Result<(), String> {
+    let until = Instant::now() + SPREAD_TIMEOUT;
+    for daemon in &fleet.daemons {
+        let address = daemon.settings.administration_address;
+        loop {
+            let held = ScrapedMetrics::read(address)
+                .map(|metrics| metrics.value("medlarspool_config_version"));
+            if held.is_ok_and(|held| held >= f64::from(u32::try_from(version).unwrap_or(u32::MAX)))
+            {
+                break;
+            }
+            if Instant::now() > until {
+                return Err(format!("`{address}` does not hold version `{version}`"));
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    Ok(())
+}
+
+/// Sums over the fleet at one moment.
+#[derive(Default)]
+struct Totals {
+    control_bytes: f64,
+    processor: Duration,
+    resident_bytes: f64,
+    store_requests: f64,
+}
+
+impl Totals {
+    fn of(fleet: &ProcessFleet) -> Result<Self, String> {
+        let mut totals = Self::default();
+        for daemon in &fleet.daemons {
+            let sample = ProcessSample::of(daemon.process.id())?;
+            let metrics = ScrapedMetrics::read(daemon.settings.administration_address)?;
+            totals.control_bytes += metrics.control_bytes();
+            totals.processor += sample.processor;
+            totals.resident_bytes = totals
+                .resident_bytes
+                .max(bytes_as_f64(sample.resident_bytes));
+            totals.store_requests += metrics.value("medlarspool_store_reads_total")
+                + metrics.value("medlarspool_store_writes_total");
+        }
+        Ok(totals)
+    }
+
+    fn cost(&self, after: &Self, daemons: usize, elapsed: Duration) -> DaemonCost {
+        let seconds = elapsed.as_secs_f64();
+        let daemon_seconds = seconds * f64::from(u32::try_from(daemons).unwrap_or(u32::MAX));
+        let processor = after.processor.saturating_sub(self.processor).as_secs_f64();
+        DaemonCost {
+            control_bytes_per_s: (after.control_bytes - self.control_bytes) / daemon_seconds,
+            core_share: processor / daemon_seconds,
+            resident_bytes: after.resident_bytes,
+            store_requests_per_s: (after.store_requests - self.store_requests) / seconds,
+        }
+    }
+}
+
+fn bytes_as_f64(bytes: u64) -> f64 {
+    f64::from(u32::try_from(bytes / 1024).unwrap_or(u32::MAX)) * 1024.0
+}
--- /dev/null
+++ b/crates/bench/src/daemon_cost_fleet.rs
@@ -0,0 +1,36 @@
+use std::{thread, time::Duration};
+
+use crate::{DaemonSpec, ProcessFleet};
+
+/// The availability zones that the daemons are dealt to.
+const AVAILABILITY_ZONES: usize = 14;
+
+/// The regions that the availability zones are dealt to.
+const REGIONS: usize = 6;
+
+/// The pause between two starts, so that starting costs no more processor time than there is.
+const START_PAUSE: Duration = Duration::from_millis(10);
+
+/// Adds this many daemons without upstreams, spread over the availability zones.
+///
+/// # Errors
+///
+/// Returns which daemon can't be started or doesn't get ready.
+pub fn daemon_cost_fleet(fleet: &mut ProcessFleet, daemons: usize) -> Result<(), String> {
+    for number in 0..daemons {
+        let zone = number % AVAILABILITY_ZONES;
+        fleet.add_spec(&DaemonSpec {
+            availability_zone: format!("zone-{zone}"),
+            extra_settings: "worker_threads: 2\n".into(),
+            instance: format!("instance-{number}"),
+            platform_address: fleet.platform_address(),
+            region: format!("region-{}", zone % REGIONS),
+            upstream: None,
+        })?;
+        thread::sleep(START_PAUSE);
+    }
+    for daemon in &fleet.daemons {
+        daemon.wait_until_ready()?;
+    }
+    Ok(())
+}
--- a/crates/bench/src/figure.rs
+++ b/crates/bench/src/figure.rs
@@ -23,6 +23,6 @@
 
 impl std::fmt::Display for Figure {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "{} {:.1} {}", self.name, self.value, self.unit)
+        write!(formatter, "{} {:.3} {}", self.name, self.value, self.unit)
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -28,6 +28,8 @@
 mod convergence_run;
 mod convergence_store;
 mod convergence_way;
+mod daemon_cost;
+mod daemon_cost_fleet;
 mod daemon_spec;
 mod figure;
 mod figures;
@@ -42,11 +44,13 @@
 mod page_digests;
 mod process_daemon;
 mod process_fleet;
+mod process_sample;
 mod program_paths;
 mod repair_cost;
 mod repair_trial;
 mod repair_way;
 mod sample_lists;
+mod scraped_metrics;
 mod stand_in_platform;
 mod stand_in_platform_error;
 mod stand_in_upstream;
@@ -72,6 +76,8 @@
     convergence_run::{ConvergenceRun, link_name},
     convergence_store::ConvergenceStore,
     convergence_way::ConvergenceWay,
+    daemon_cost::{DaemonCost, wait_for_version},
+    daemon_cost_fleet::daemon_cost_fleet,
     daemon_spec::{DaemonSpec, FLEET_KEY, OPERATOR_TOKEN, PLATFORM_TOKEN},
     figure::Figure,
     figures::Figures,
@@ -86,11 +92,13 @@
     page_digests::PageDigests,
     process_daemon::ProcessDaemon,
     process_fleet::ProcessFleet,
+    process_sample::ProcessSample,
     program_paths::ProgramPaths,
     repair_cost::RepairCost,
     repair_trial::RepairTrial,
     repair_way::RepairWay,
     sample_lists::SampleLists,
+    scraped_metrics::ScrapedMetrics,
     stand_in_platform::StandInPlatform,
     stand_in_platform_error::StandInPlatformError,
     stand_in_upstream::StandInUpstream,
--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -5,7 +5,9 @@
     time::Duration,
 };
 
-use medlarspool_config::CredentialHash;
+use medlarspool_config::{CredentialHash, Lists};
+use medlarspool_platform::{Change, CommitOutcome, HttpPlatform, commit, read_head};
+use medlarspool_types::{ConfigHead, IdError};
 use tempfile::TempDir;
 
 use crate::{
@@ -13,6 +15,9 @@
     UpstreamBehaviour, UpstreamSettings, free_address,
 };
 
+/// How long the platform may take to answer this process.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A fleet of real processes on loopback addresses: platform, daemons, upstreams.
 pub struct ProcessFleet {
     /// The daemons in the order in which they were added.
@@ -44,6 +49,17 @@
         })
     }
 
+    /// Adds a daemon by its specification, whose platform is this fleet's.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn add_spec(&mut self, spec: &DaemonSpec) -> Result<usize, String> {
+        let daemon = ProcessDaemon::start(&self.programs, spec, self.folder.path())?;
+        self.daemons.push(daemon);
+        Ok(self.daemons.len() - 1)
+    }
+
     /// Adds a daemon in a zone with an upstream of a service, and returns its position.
     ///
     /// # Errors
@@ -74,9 +90,7 @@
                 slots: 6,
             }),
         };
-        let daemon = ProcessDaemon::start(&self.programs, &spec, self.folder.path())?;
-        self.daemons.push(daemon);
-        Ok(number)
+        self.add_spec(&spec)
     }
 
     /// Sends one caller's request to a daemon.
@@ -112,6 +126,41 @@
         Err(format!("status `{status}` never came; last: {last:?}"))
     }
 
+    /// Commits lists over whatever is in force, as one more version.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they were not accepted.
+    pub fn commit(&self, lists: Lists) -> Result<ConfigHead, String> {
+        let platform = self.platform_client();
+        let base = read_head(&platform).map_err(|error| error.to_string())?;
+        let base = base.unwrap_or_default().version;
+        let id = format!("bench-{}", base.next());
+        let change = Change {
+            asked_at_ms: 0,
+            base,
+            id: id.parse().map_err(|error: IdError| error.to_string())?,
+            lists,
+            operator: "bench".into(),
+            sent_before: false,
+        };
+        match commit(&platform, &change).map_err(|error| error.to_string())? {
+            CommitOutcome::Accepted { head, .. } | CommitOutcome::Unchanged { head } => Ok(head),
+        }
+    }
+
+    /// Returns a client of the fleet's platform.
+    #[must_use]
+    pub fn platform_client(&self) -> HttpPlatform {
+        HttpPlatform::new(self.platform_address, PLATFORM_TOKEN, PLATFORM_TIMEOUT)
+    }
+
+    /// Returns where the fleet's platform is reached.
+    #[must_use]
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform_address
+    }
+
     /// Runs the operators' command against the platform.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/bench/src/process_sample.rs
@@ -0,0 +1,50 @@
+use std::{fs, time::Duration};
+
+/// The kernel's clock ticks a second, which `/proc` counts processor time in.
+const CLOCK_TICKS_PER_SECOND: u64 = 100;
+
+/// What the kernel counts for one process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProcessSample {
+    /// The processor time so far, of user and system together.
+    pub processor: Duration,
+    /// The resident memory in bytes.
+    pub resident_bytes: u64,
+}
+
+impl ProcessSample {
+    /// Samples a process by its id.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process is gone.
+    pub fn of(process_id: u32) -> Result<Self, String> {
+        let read = |name: &str| {
+            let path = format!("/proc/{process_id}/{name}");
+            fs::read_to_string(&path).map_err(|error| format!("`{path}`: {error}"))
+        };
+        Ok(Self {
+            processor: processor(&read("stat")?),
+            resident_bytes: resident_bytes(&read("status")?),
+        })
+    }
+}
+
+fn processor(stat: &str) -> Duration {
+    let behind_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = behind_name.split_whitespace().collect();
+    let ticks = |index: usize| -> u64 {
+        let field = fields.get(index).copied().unwrap_or_default();
+        field.parse().unwrap_or(0)
+    };
+    let total = ticks(11) + ticks(12);
+    Duration::from_millis(total * 1000 / CLOCK_TICKS_PER_SECOND)
+}
+
+fn resident_bytes(status: &str) -> u64 {
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse::<u64>().ok())
+        .map_or(0, |kibibytes| kibibytes * 1024)
+}
--- /dev/null
+++ b/crates/bench/src/scraped_metrics.rs
@@ -0,0 +1,58 @@
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::OPERATOR_TOKEN;
+
+/// How long a daemon may take to show its metrics.
+const SCRAPE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One daemon's metrics at one moment; series with labels are added up.
+#[derive(Clone, Debug, Default)]
+pub struct ScrapedMetrics {
+    values: BTreeMap<String, f64>,
+}
+
+impl ScrapedMetrics {
+    /// Reads the metrics that the daemon at an administration address shows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they can't be read.
+    pub fn read(administration_address: SocketAddr) -> Result<Self, String> {
+        let text = ureq::get(format!("http://{administration_address}/metrics"))
+            .config()
+            .timeout_global(Some(SCRAPE_TIMEOUT))
+            .build()
+            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+            .call()
+            .map_err(|error| error.to_string())?
+            .body_mut()
+            .read_to_string()
+            .map_err(|error| error.to_string())?;
+        Ok(Self::parse(&text))
+    }
+
+    /// Returns a metric's value, or 0 if the daemon doesn't have it.
+    #[must_use]
+    pub fn value(&self, name: &str) -> f64 {
+        self.values.get(name).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the control bytes in both directions, datagrams and transfers.
+    #[must_use]
+    pub fn control_bytes(&self) -> f64 {
+        self.value("medlarspool_control_received_bytes_total")
+            + self.value("medlarspool_control_sent_bytes_total")
+    }
+
+    fn parse(text: &str) -> Self {
+        let mut values = BTreeMap::new();
+        for line in text.lines().filter(|line| !line.starts_with('#')) {
+            let Some((series, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let name = series.split('{').next().unwrap_or(series);
+            *values.entry(name.to_owned()).or_default() += value.parse().unwrap_or(0.0);
+        }
+        Self { values }
+    }
+}
