Measure repair anew with kept digests and for damaged lists

Cause: the figures for pages and the log were taken when every change digested the whole lists, which hid the difference; damaged lists weren't measured.

--- a/crates/bench/benches/repair.rs
+++ b/crates/bench/benches/repair.rs
@@ -18,6 +18,17 @@
                 println!("{name}_round_trips {} count", cost.round_trips);
                 println!("{name}_processor {} us", cost.processor.as_micros());
             }
+            let damaged = RepairTrial::damaged(customers, *changes, SEED);
+            for way in [RepairWay::Pages, RepairWay::Whole] {
+                let cost = damaged.cost(way);
+                let name = format!(
+                    "damaged_{}_{customers}_customers_{changes}_entries",
+                    way.name()
+                );
+                println!("{name}_bytes {} bytes", cost.bytes);
+                println!("{name}_round_trips {} count", cost.round_trips);
+                println!("{name}_processor {} us", cost.processor.as_micros());
+            }
             let log = trial.cost(RepairWay::DeltaLog).bytes;
             log_beats_whole &=
                 *changes * 10 > customers || log < trial.cost(RepairWay::Whole).bytes;
--- a/crates/bench/src/repair_trial.rs
+++ b/crates/bench/src/repair_trial.rs
@@ -1,6 +1,6 @@
 use std::{hint::black_box, sync::Arc, time::Instant};
 
-use medlarspool_config::{CustomerEntry, Lists, Snapshot};
+use medlarspool_config::{EntryChange, Lists, ListsPatch, Snapshot};
 use medlarspool_spread::{DeltaUpdate, apply_updates, update_between};
 
 use crate::{PageDigests, RepairCost, RepairWay, SampleLists};
@@ -8,11 +8,12 @@
 /// How often each way is run; the median counts.
 const RUNS: usize = 3;
 
-/// One daemon that is behind, and one that isn't.
+/// One daemon that is behind or damaged, and one that is neither.
 #[derive(Debug)]
 pub struct RepairTrial {
     behind: Snapshot,
     changes: usize,
+    damaged: bool,
     newest: Snapshot,
     one_change: DeltaUpdate,
 }
@@ -29,11 +30,21 @@
         Self {
             behind,
             changes,
+            damaged: false,
             newest: sample.snapshot(),
             one_change,
         }
     }
 
+    /// Makes the same lists, but the daemon holds the newest version with that many entries damaged.
+    #[must_use]
+    pub fn damaged(customers: usize, entries: usize, seed: u64) -> Self {
+        Self {
+            damaged: true,
+            ..Self::new(customers, entries, seed)
+        }
+    }
+
     /// Repairs by one way and returns the cost.
     ///
     /// # Panics
@@ -68,25 +79,32 @@
         }
     }
 
+    /// Counts the digests that are exchanged and the pages that differ. Digests are kept by both
+    /// sides, so their making is timed only where damage had to be found.
     fn run_pages(&self) -> RepairCost {
-        let start = Instant::now();
         let pages = PageDigests::page_count(self.newest.lists().customers().len());
-        let asker = PageDigests::of(self.behind.lists(), pages);
         let giver = PageDigests::of(self.newest.lists(), pages);
+        let start = Instant::now();
+        let asker = PageDigests::of(self.behind.lists(), pages);
+        let digested = start.elapsed();
+        let start = Instant::now();
         let compared = giver.pages_to_compare(&asker);
         let differing = giver.differing(&asker, &compared);
-        let customers = merged(&asker, &giver, &differing, pages);
-        let lists = self.newest.lists();
-        let lists = Lists::new(customers, lists.plans().to_vec(), lists.services().to_vec())
-            .expect("the pages make up the newest lists");
+        let patch = patch(&asker, &giver, &differing);
+        let lists = patch.apply(self.behind.lists());
+        let lists = lists.expect("the pages make up the newest lists");
         let mended = Snapshot::build(self.newest.head(), Arc::new(lists)).expect("the newest");
-        let processor = start.elapsed();
+        let mending = start.elapsed();
         black_box(mended);
         let digests = giver.groups().len() + compared.len();
         let content: usize = differing.iter().map(|page| giver.page_bytes(*page)).sum();
         RepairCost {
             bytes: digests * PageDigests::DIGEST_BYTES + content,
-            processor,
+            processor: if self.damaged {
+                digested + mending
+            } else {
+                mending
+            },
             round_trips: 3,
         }
     }
@@ -106,20 +124,11 @@
     }
 }
 
-fn merged(
-    asker: &PageDigests<'_>,
-    giver: &PageDigests<'_>,
-    differing: &[usize],
-    pages: usize,
-) -> Vec<CustomerEntry> {
-    (0..pages)
-        .flat_map(|page| {
-            let from = if differing.binary_search(&page).is_ok() {
-                giver
-            } else {
-                asker
-            };
-            from.page(page).iter().map(|entry| (*entry).clone())
-        })
-        .collect()
+/// Returns what puts the giver's pages in the place of the asker's.
+fn patch(asker: &PageDigests<'_>, giver: &PageDigests<'_>, differing: &[usize]) -> ListsPatch {
+    let gone = differing.iter().flat_map(|page| asker.page(*page));
+    let gone = gone.map(|entry| EntryChange::RemoveCustomer(entry.customer.clone()));
+    let puts = differing.iter().flat_map(|page| giver.page(*page));
+    let puts = puts.map(|entry| EntryChange::PutCustomer((*entry).clone()));
+    ListsPatch::new(gone.chain(puts))
 }
