Run a night of faults against real processes and count the promises

Cause: nothing put all faults together to a fleet under load. Change: the bench overnight starts a fleet of processes at each deployment's size, sends a steady load of idempotent, keyed and unkeyed requests, strikes with all faults in a seeded order, some in pairs, and counts for each promise how often it was tested and broken. Upstreams note each run in a ledger before they begin it, so that a crash hides none.

--- /dev/null
+++ b/crates/bench/benches/overnight.rs
@@ -0,0 +1,61 @@
+//! One night of each deployment: real processes, steady load, all faults in seeded order, some together.
+//!
+//! `cargo bench -p medlarspool-bench --bench overnight [-- SEED]`. See docs/OPERATING.md for the faults.
+
+use std::process::ExitCode;
+
+use medlarspool_bench::{OvernightPlan, OvernightReport, OvernightRun, program_paths};
+
+const DEFAULT_SEED: u64 = 1;
+
+fn main() -> ExitCode {
+    let seed = std::env::args()
+        .find_map(|word| word.parse().ok())
+        .unwrap_or(DEFAULT_SEED);
+    let nights = [
+        ("trust", OvernightPlan::trust(seed)),
+        ("atlas", OvernightPlan::atlas(seed)),
+    ];
+    let mut missed = Vec::new();
+    for (name, plan) in nights {
+        match OvernightRun::start(plan, program_paths!()).and_then(OvernightRun::run) {
+            Err(error) => {
+                eprintln!("overnight: {name}: {error}");
+                missed.push(format!("{name}_not_run_to_its_end"));
+            }
+            Ok(report) => {
+                if show(name, &report) > 0 {
+                    missed.push(name.to_owned());
+                }
+            }
+        }
+    }
+    if missed.is_empty() {
+        println!("bound: held");
+        return ExitCode::SUCCESS;
+    }
+    println!("bound: missed {}", missed.join(" "));
+    ExitCode::FAILURE
+}
+
+/// Prints one night's table and returns how often a promise was broken.
+fn show(name: &str, report: &OvernightReport) -> u64 {
+    let mut broken = 0;
+    for promise in report.promises().into_iter().chain([report.convergence()]) {
+        println!("# {name}: {promise}");
+        broken += promise.broken;
+    }
+    for (fault, count) in &report.faults {
+        println!("{name}_{fault:?} {count} faults");
+    }
+    println!("{name}_requests {} requests", report.requests.len());
+    println!("{name}_answered {:.2} percent", report.answered_percent());
+    println!("{name}_changes {} versions", report.changes);
+    let slowest = report.converged_within.iter().max();
+    println!(
+        "{name}_slowest_convergence {} ms",
+        slowest.map_or(0, std::time::Duration::as_millis)
+    );
+    println!("{name}_broken {broken} promises");
+    broken
+}
--- a/crates/bench/src/bin/stand-in-upstream.rs
+++ b/crates/bench/src/bin/stand-in-upstream.rs
@@ -5,6 +5,9 @@
 use getopts::{Matches, Options};
 use medlarspool_bench::{StandInUpstream, UpstreamSettings};
 
+/// How long a leaving upstream still runs what reaches it, so that work that should not is seen.
+const LINGER: Duration = Duration::from_secs(6);
+
 fn main() -> ExitCode {
     env_logger::init();
     match run() {
@@ -26,6 +29,7 @@
         "ADDRESS",
     );
     options.optopt("", "behaviour", "cold, crashing, plain or silent", "WORD");
+    options.optopt("", "ledger", "the file that notes each run", "FILE");
     options.reqopt("", "name", "the name that its answers show", "NAME");
     options.reqopt("", "service", "the service that it offers", "NAME");
     options.optopt("", "service-time-ms", "how long a request takes", "MS");
@@ -35,7 +39,7 @@
         .map_err(|error| error.to_string())?;
     let upstream = StandInUpstream::start(settings(&matches)?)?;
     wait_for_planned_stop().map_err(|error| error.to_string())?;
-    upstream.leave();
+    upstream.leave(LINGER);
     Ok(())
 }
 
@@ -44,6 +48,7 @@
         address: value(matches, "address", "")?,
         announcements_address: value(matches, "announcements", "")?,
         behaviour: value(matches, "behaviour", "plain")?,
+        ledger: matches.opt_str("ledger").map(Into::into),
         name: value(matches, "name", "")?,
         service: value(matches, "service", "")?,
         service_time: Duration::from_millis(value(matches, "service-time-ms", "0")?),
--- a/crates/bench/src/caller_reply.rs
+++ b/crates/bench/src/caller_reply.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 /// How long a caller waits.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// What a caller got.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,14 +21,25 @@
     ///
     /// Returns why no whole answer came.
     pub fn get(url: &str, credential: &str) -> Result<Self, String> {
-        let answer = ureq::get(url)
+        Self::get_with(url, credential, &[])
+    }
+
+    /// Sends a GET request with further headers and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub fn get_with(url: &str, credential: &str, headers: &[(&str, &str)]) -> Result<Self, String> {
+        let mut request = ureq::get(url)
             .config()
             .http_status_as_error(false)
             .timeout_global(Some(CALLER_TIMEOUT))
             .build()
-            .header("authorization", format!("Bearer {credential}"))
-            .call();
-        Self::read(answer)
+            .header("authorization", format!("Bearer {credential}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        Self::read(request.call())
     }
 
     /// Sends a POST request and reads its whole answer.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -41,14 +41,23 @@
 mod membership_pair;
 mod membership_run;
 mod membership_traffic;
+mod overnight_callers;
+mod overnight_fault;
+mod overnight_kind;
+mod overnight_plan;
+mod overnight_report;
+mod overnight_request;
+mod overnight_run;
 mod page_digests;
 mod process_daemon;
 mod process_fleet;
 mod process_sample;
 mod program_paths;
+mod promise_count;
 mod repair_cost;
 mod repair_trial;
 mod repair_way;
+mod run_ledger;
 mod sample_lists;
 mod scraped_metrics;
 mod stand_in_platform;
@@ -56,6 +65,7 @@
 mod stand_in_upstream;
 mod upstream_behaviour;
 mod upstream_settings;
+mod version_watch;
 
 pub use crate::{
     caller_reply::CallerReply,
@@ -89,14 +99,23 @@
     membership_pair::{MembershipPair, fill, member},
     membership_run::MembershipRun,
     membership_traffic::MembershipTraffic,
+    overnight_callers::OvernightCallers,
+    overnight_fault::OvernightFault,
+    overnight_kind::OvernightKind,
+    overnight_plan::OvernightPlan,
+    overnight_report::OvernightReport,
+    overnight_request::OvernightRequest,
+    overnight_run::OvernightRun,
     page_digests::PageDigests,
     process_daemon::ProcessDaemon,
     process_fleet::ProcessFleet,
     process_sample::ProcessSample,
     program_paths::ProgramPaths,
+    promise_count::PromiseCount,
     repair_cost::RepairCost,
     repair_trial::RepairTrial,
     repair_way::RepairWay,
+    run_ledger::{LedgerRun, RunLedger, epoch_ms},
     sample_lists::SampleLists,
     scraped_metrics::ScrapedMetrics,
     stand_in_platform::StandInPlatform,
@@ -104,4 +123,5 @@
     stand_in_upstream::StandInUpstream,
     upstream_behaviour::UpstreamBehaviour,
     upstream_settings::UpstreamSettings,
+    version_watch::{VersionCount, VersionWatch},
 };
--- a/crates/bench/src/local_daemon.rs
+++ b/crates/bench/src/local_daemon.rs
@@ -53,7 +53,7 @@
     /// Stops as planned: the upstream leaves, then the daemon drains.
     pub fn stop(self) {
         if let Some(upstream) = self.upstream {
-            upstream.leave();
+            upstream.leave(Duration::ZERO);
         }
         self.daemon.stop();
     }
--- /dev/null
+++ b/crates/bench/src/overnight_callers.rs
@@ -0,0 +1,171 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use fastrand::Rng;
+
+use crate::{CallerReply, OvernightKind, OvernightRequest};
+
+/// The most sends of one request.
+const MAX_SENDS: u32 = 6;
+
+/// The pause between two requests of one caller.
+const PACE: Duration = Duration::from_millis(40);
+
+/// The pause before a request is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(150);
+
+/// Callers that send a steady load until they are stopped.
+pub struct OvernightCallers {
+    done: Arc<Mutex<Vec<OvernightRequest>>>,
+    stopping: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl OvernightCallers {
+    /// Starts this many callers of some services through some daemons.
+    #[must_use]
+    pub fn start(
+        count: u32,
+        daemons: &[SocketAddr],
+        services: &[String],
+        credential: &str,
+        seed: u64,
+    ) -> Self {
+        let mut callers = Self {
+            done: Arc::default(),
+            stopping: Arc::default(),
+            threads: Vec::new(),
+        };
+        for number in 0..count {
+            let caller = Caller {
+                credential: credential.into(),
+                daemons: daemons.to_vec(),
+                number,
+                random: Rng::with_seed(seed ^ u64::from(number) << 32),
+                services: services.to_vec(),
+            };
+            let done = Arc::clone(&callers.done);
+            let stopping = Arc::clone(&callers.stopping);
+            callers
+                .threads
+                .push(std::thread::spawn(move || caller.serve(&done, &stopping)));
+        }
+        callers
+    }
+
+    /// Stops the callers and returns what each request came to.
+    ///
+    /// # Panics
+    ///
+    /// If a caller panicked.
+    #[must_use]
+    pub fn stop(self) -> Vec<OvernightRequest> {
+        self.stopping.store(true, Ordering::Release);
+        for thread in self.threads {
+            thread.join().expect("no caller panics");
+        }
+        std::mem::take(&mut self.done.lock().expect("no caller panics"))
+    }
+}
+
+struct Caller {
+    credential: String,
+    daemons: Vec<SocketAddr>,
+    number: u32,
+    random: Rng,
+    services: Vec<String>,
+}
+
+impl Caller {
+    fn serve(mut self, done: &Mutex<Vec<OvernightRequest>>, stopping: &AtomicBool) {
+        let mut sequence = 0;
+        while !stopping.load(Ordering::Acquire) {
+            sequence += 1;
+            let id = format!("r{}-{sequence}", self.number);
+            let request = self.request(id);
+            done.lock().expect("no caller panics").push(request);
+            std::thread::sleep(PACE);
+        }
+    }
+
+    fn request(&mut self, id: String) -> OvernightRequest {
+        let kind = match self.random.u8(..3) {
+            0 => OvernightKind::Idempotent,
+            1 => OvernightKind::Keyed,
+            _ => OvernightKind::Once,
+        };
+        let service = self.services[self.random.usize(..self.services.len())].clone();
+        let mut request = OvernightRequest {
+            garbled: false,
+            id,
+            kind,
+            never_ran: true,
+            ran: false,
+            sends: 0,
+        };
+        while request.sends < MAX_SENDS {
+            let reply = self.send(&service, &request);
+            request.sends += 1;
+            let again = judge(&mut request, reply.as_ref().ok());
+            if !again {
+                break;
+            }
+            std::thread::sleep(RESEND_PAUSE);
+        }
+        request
+    }
+
+    fn send(&mut self, service: &str, request: &OvernightRequest) -> Result<CallerReply, String> {
+        let daemon = self.daemons[self.random.usize(..self.daemons.len())];
+        let url = format!("http://{daemon}/{service}/echo-{}", request.id);
+        let id = request.id.as_str();
+        match request.kind {
+            OvernightKind::Idempotent => {
+                CallerReply::get_with(&url, &self.credential, &[("x-request-id", id)])
+            }
+            OvernightKind::Keyed => {
+                let headers = [("x-request-id", id), ("idempotency-key", id)];
+                CallerReply::post(&url, &self.credential, &headers, id)
+            }
+            OvernightKind::Once => {
+                CallerReply::post(&url, &self.credential, &[("x-request-id", id)], id)
+            }
+        }
+    }
+}
+
+/// Takes in one reply, or its absence, and returns whether the caller sends again.
+fn judge(request: &mut OvernightRequest, reply: Option<&CallerReply>) -> bool {
+    let Some(reply) = reply else {
+        request.never_ran = false;
+        return request.kind.repeats_after_doubt();
+    };
+    match reply.verdict.as_str() {
+        "not-run" => true,
+        "ran" => {
+            request.never_ran = false;
+            request.ran = true;
+            request.garbled |= !is_whole_answer(request, &reply.body);
+            false
+        }
+        _ => {
+            request.never_ran = false;
+            request.kind.repeats_after_doubt()
+        }
+    }
+}
+
+fn is_whole_answer(request: &OvernightRequest, body: &str) -> bool {
+    let sent = match request.kind {
+        OvernightKind::Idempotent => "",
+        OvernightKind::Keyed | OvernightKind::Once => request.id.as_str(),
+    };
+    body.ends_with(&format!(" /echo-{} {sent}\n", request.id))
+}
--- /dev/null
+++ b/crates/bench/src/overnight_kind.rs
@@ -0,0 +1,27 @@
+/// What kind of request a caller sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OvernightKind {
+    /// A request that may run any number of times.
+    Idempotent,
+    /// A request that must run at most once and carries an idempotency key.
+    Keyed,
+    /// A request that must run at most once and carries no key.
+    Once,
+}
+
+impl OvernightKind {
+    /// Returns whether the caller sends it again although it may have run.
+    #[must_use]
+    pub fn repeats_after_doubt(self) -> bool {
+        match self {
+            Self::Idempotent | Self::Keyed => true,
+            Self::Once => false,
+        }
+    }
+
+    /// Returns whether it may run more than once.
+    #[must_use]
+    pub fn may_run_twice(self) -> bool {
+        self == Self::Idempotent
+    }
+}
--- /dev/null
+++ b/crates/bench/src/overnight_report.rs
@@ -0,0 +1,141 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use crate::{LedgerRun, OvernightFault, OvernightRequest, PromiseCount, VersionCount};
+
+/// When an accepted change must be in force everywhere, from the two-year target.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// After how long a leaving upstream must get no new work, in milliseconds.
+const LEAVING_LIMIT_MS: u64 = 3_000;
+
+/// What a night showed.
+pub struct OvernightReport {
+    /// Accepted changes.
+    pub changes: u64,
+    /// How long each change took to be in force on all daemons once no fault lasted.
+    pub converged_within: Vec<Duration>,
+    /// How often each fault happened.
+    pub faults: BTreeMap<OvernightFault, u64>,
+    /// The lives of upstreams that left, and when they said so, in milliseconds since the epoch.
+    pub left: BTreeMap<String, u64>,
+    /// What each request came to.
+    pub requests: Vec<OvernightRequest>,
+    /// The runs of each request.
+    pub runs: HashMap<String, Vec<LedgerRun>>,
+    /// Planned stops.
+    pub stops: u64,
+    /// Planned stops that did not end with exit code 0 in time.
+    pub unclean_stops: u64,
+    /// Looks at the versions that daemons serve by.
+    pub versions: VersionCount,
+}
+
+impl OvernightReport {
+    /// Returns the share of requests that got an answer in the end.
+    #[must_use]
+    pub fn answered_percent(&self) -> f64 {
+        let answered = count(self.requests.iter().filter(|request| request.ran));
+        as_f64(answered) * 100.0 / as_f64(count(self.requests.iter())).max(1.0)
+    }
+
+    /// Returns, for each promise that a night tests, how often it was tested and broken.
+    #[must_use]
+    pub fn promises(&self) -> Vec<PromiseCount> {
+        vec![
+            self.versions_kept(),
+            self.whole_answers(),
+            self.true_refusals(),
+            self.at_most_once(),
+            self.leaving(),
+            PromiseCount {
+                broken: self.unclean_stops,
+                promise: "a planned stop ends cleanly",
+                tested: self.stops,
+            },
+        ]
+    }
+
+    /// Returns how often a change was not in force everywhere in time; judged by the wall clock.
+    #[must_use]
+    pub fn convergence(&self) -> PromiseCount {
+        let late = self
+            .converged_within
+            .iter()
+            .filter(|within| **within > CONVERGENCE_LIMIT);
+        PromiseCount {
+            broken: count(late),
+            promise: "in force everywhere within 5 s",
+            tested: count(self.converged_within.iter()),
+        }
+    }
+
+    fn versions_kept(&self) -> PromiseCount {
+        PromiseCount {
+            broken: self.versions.reversions,
+            promise: "no daemon moves back to an older version",
+            tested: self.versions.looks,
+        }
+    }
+
+    fn whole_answers(&self) -> PromiseCount {
+        let answered = self.requests.iter().filter(|request| request.ran);
+        PromiseCount {
+            broken: count(answered.clone().filter(|request| request.garbled)),
+            promise: "the whole answer to its own request",
+            tested: count(answered),
+        }
+    }
+
+    fn true_refusals(&self) -> PromiseCount {
+        let refused = self.requests.iter().filter(|request| request.never_ran);
+        PromiseCount {
+            broken: count(refused.clone().filter(|request| self.runs_of(request) > 0)),
+            promise: "refused as not run, and did not run",
+            tested: count(refused),
+        }
+    }
+
+    fn at_most_once(&self) -> PromiseCount {
+        let once = self
+            .requests
+            .iter()
+            .filter(|request| !request.kind.may_run_twice());
+        let twice = once.clone().filter(|request| self.runs_of(request) > 1);
+        for request in twice.clone() {
+            log::error!(id = request.id.as_str(), kind:? = request.kind; "ran more than once");
+        }
+        PromiseCount {
+            broken: count(twice),
+            promise: "a non-idempotent request runs at most once",
+            tested: count(once),
+        }
+    }
+
+    fn leaving(&self) -> PromiseCount {
+        let late = self.runs.values().flatten().filter(|run| {
+            self.left
+                .get(&run.upstream)
+                .is_some_and(|left| run.began_at_ms > left + LEAVING_LIMIT_MS)
+        });
+        PromiseCount {
+            broken: count(late),
+            promise: "a leaving upstream gets no work after 3 s",
+            tested: count(self.left.iter()),
+        }
+    }
+
+    fn runs_of(&self, request: &OvernightRequest) -> usize {
+        self.runs.get(&request.id).map_or(0, Vec::len)
+    }
+}
+
+fn as_f64(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn count<T>(items: impl Iterator<Item = T>) -> u64 {
+    items.fold(0, |count, _| count + 1)
+}
--- /dev/null
+++ b/crates/bench/src/overnight_request.rs
@@ -0,0 +1,18 @@
+use crate::OvernightKind;
+
+/// What one caller saw of one request, over all its sends.
+#[derive(Clone, Debug)]
+pub struct OvernightRequest {
+    /// Whether an answer came whose content was another request's or not whole.
+    pub garbled: bool,
+    /// The request's id, as upstreams note it.
+    pub id: String,
+    /// The kind.
+    pub kind: OvernightKind,
+    /// Whether every send got an answer and every answer said `not-run`.
+    pub never_ran: bool,
+    /// Whether some answer said `ran`.
+    pub ran: bool,
+    /// How often it was sent.
+    pub sends: u32,
+}
--- /dev/null
+++ b/crates/bench/src/overnight_run.rs
@@ -0,0 +1,285 @@
+use std::{
+    collections::BTreeMap,
+    thread,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use medlarspool_config::{CredentialHash, CustomerEntry, Lists, PlanEntry, ServiceEntry};
+use medlarspool_platform::FakeFaults;
+
+use crate::{
+    DaemonSpec, OvernightCallers, OvernightFault, OvernightPlan, OvernightReport, ProcessFleet,
+    ProgramPaths, RunLedger, UpstreamBehaviour, UpstreamSettings, VersionWatch, epoch_ms,
+    wait_for_version,
+};
+
+/// The credential of the one customer.
+const CREDENTIAL: &str = "overnight-credential";
+
+/// How long a planned stop may take.
+const STOP_PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a slow store takes longer for each call.
+const STORE_DELAY: Duration = Duration::from_millis(800);
+
+/// One night of a fleet of real processes under load and faults.
+pub struct OvernightRun {
+    changes: u64,
+    converged_within: Vec<Duration>,
+    faults: BTreeMap<OvernightFault, u64>,
+    fleet: ProcessFleet,
+    left: BTreeMap<String, u64>,
+    plan: OvernightPlan,
+    random: Rng,
+    stops: u64,
+    unclean_stops: u64,
+}
+
+impl OvernightRun {
+    /// Starts the fleet and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns what can't be started.
+    pub fn start(plan: OvernightPlan, programs: ProgramPaths) -> Result<Self, String> {
+        let mut run = Self {
+            changes: 0,
+            converged_within: Vec::new(),
+            faults: BTreeMap::new(),
+            fleet: ProcessFleet::start(programs)?,
+            left: BTreeMap::new(),
+            random: Rng::with_seed(plan.seed),
+            plan,
+            stops: 0,
+            unclean_stops: 0,
+        };
+        run.fleet.commit(run.lists()?)?;
+        run.add_daemons()?;
+        for daemon in &run.fleet.daemons {
+            daemon.wait_until_ready()?;
+        }
+        run.wait_until_served()?;
+        Ok(run)
+    }
+
+    /// Runs the night and counts what became of each promise.
+    ///
+    /// # Errors
+    ///
+    /// Returns what kept the night from being run to its end.
+    pub fn run(mut self) -> Result<OvernightReport, String> {
+        let administration = self.addresses(|settings| settings.administration_address);
+        let callers_addresses = self.addresses(|settings| settings.callers_address);
+        let services: Vec<_> = self
+            .plan
+            .services
+            .iter()
+            .map(|(name, _)| name.clone())
+            .collect();
+        let watch = VersionWatch::start(administration);
+        let callers = OvernightCallers::start(
+            self.plan.callers,
+            &callers_addresses,
+            &services,
+            CREDENTIAL,
+            self.plan.seed,
+        );
+        for faults in OvernightFault::night(self.plan.rounds, self.plan.seed) {
+            self.step(&faults)?;
+        }
+        let requests = callers.stop();
+        let versions = watch.stop();
+        let runs = RunLedger::read(&self.fleet.ledger_path())?;
+        Ok(OvernightReport {
+            changes: self.changes,
+            converged_within: self.converged_within,
+            faults: self.faults,
+            left: self.left,
+            requests,
+            runs,
+            stops: self.stops,
+            unclean_stops: self.unclean_stops,
+            versions,
+        })
+    }
+
+    fn step(&mut self, faults: &[OvernightFault]) -> Result<(), String> {
+        let mut struck = Vec::new();
+        for fault in faults {
+            *self.faults.entry(*fault).or_default() += 1;
+            struck.push((*fault, self.strike(*fault)?));
+        }
+        thread::sleep(self.plan.step / 2);
+        if !faults.contains(&OvernightFault::StoreDown) {
+            self.change()?;
+        }
+        thread::sleep(self.plan.step / 2);
+        for (fault, daemons) in struck {
+            self.heal(fault, &daemons)?;
+        }
+        self.change()?;
+        let started_at = Instant::now();
+        wait_for_version(&self.fleet, self.changes + 1)?;
+        self.converged_within.push(started_at.elapsed());
+        Ok(())
+    }
+
+    /// Begins a fault and returns the daemons that it hits.
+    fn strike(&mut self, fault: OvernightFault) -> Result<Vec<usize>, String> {
+        let count = self.fleet.daemons.len();
+        let one = self.random.usize(..count);
+        match fault {
+            OvernightFault::DaemonKilled => self.fleet.daemons[one].process.kill(),
+            OvernightFault::DaemonPaused => self.fleet.daemons[one].process.signal("STOP")?,
+            OvernightFault::DaemonStopped => {
+                self.stops += 1;
+                let code = self.fleet.daemons[one].stop(STOP_PATIENCE)?;
+                self.unclean_stops += u64::from(code != Some(0));
+            }
+            OvernightFault::HerdKilled => {
+                let herd: Vec<_> = (0..count).filter(|at| at % 3 == one % 3).collect();
+                for at in &herd {
+                    self.fleet.daemons[*at].process.kill();
+                }
+                return Ok(herd);
+            }
+            OvernightFault::StoreAnswerLost => self.store(&FakeFaults {
+                lost_answers: 1,
+                ..FakeFaults::default()
+            })?,
+            OvernightFault::StoreDown => self.store(&FakeFaults {
+                down: true,
+                ..FakeFaults::default()
+            })?,
+            OvernightFault::StoreSlow => self.store(&FakeFaults {
+                delay_ms: STORE_DELAY,
+                ..FakeFaults::default()
+            })?,
+            OvernightFault::UpstreamKilled => self.fleet.daemons[one].upstream = None,
+            OvernightFault::UpstreamLeaves => self.leave(one)?,
+        }
+        Ok(vec![one])
+    }
+
+    fn heal(&mut self, fault: OvernightFault, daemons: &[usize]) -> Result<(), String> {
+        let programs = self.fleet.programs();
+        for at in daemons {
+            let daemon = &mut self.fleet.daemons[*at];
+            match fault {
+                OvernightFault::DaemonKilled
+                | OvernightFault::DaemonStopped
+                | OvernightFault::HerdKilled => daemon.restart(&programs)?,
+                OvernightFault::DaemonPaused => daemon.process.signal("CONT")?,
+                OvernightFault::StoreAnswerLost
+                | OvernightFault::StoreDown
+                | OvernightFault::StoreSlow => self.store(&FakeFaults::default())?,
+                OvernightFault::UpstreamKilled | OvernightFault::UpstreamLeaves => {
+                    daemon.restart_upstream(&programs)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn leave(&mut self, at: usize) -> Result<(), String> {
+        if let Some(upstream) = &self.fleet.daemons[at].upstream {
+            let name = format!("instance-{at}.{}", upstream.id());
+            upstream.signal("TERM")?;
+            self.left.insert(name, epoch_ms());
+        }
+        Ok(())
+    }
+
+    fn store(&self, faults: &FakeFaults) -> Result<(), String> {
+        self.fleet.set_store_faults(faults)
+    }
+
+    /// Commits one more version.
+    fn change(&mut self) -> Result<(), String> {
+        self.changes += 1;
+        let lists = self.lists()?;
+        let head = self.fleet.commit(lists)?;
+        if head.version.0 == self.changes + 1 {
+            return Ok(());
+        }
+        Err(format!("version `{}` was not expected", head.version))
+    }
+
+    fn lists(&self) -> Result<Lists, String> {
+        let failed = |error: medlarspool_types::IdError| error.to_string();
+        let mut services = Vec::new();
+        for (name, _) in &self.plan.services {
+            services.push(ServiceEntry {
+                max_request_bytes: 65_536,
+                service: name.parse().map_err(failed)?,
+                timeout_ms: Duration::from_secs(3),
+            });
+        }
+        let plan = PlanEntry {
+            plan: "standard".parse().map_err(failed)?,
+            uses: services.iter().map(|entry| entry.service.clone()).collect(),
+            weight: 1,
+        };
+        let customer = |name: String, credential: &str| -> Result<CustomerEntry, String> {
+            Ok(CustomerEntry {
+                credential_sha256: CredentialHash::of(credential),
+                customer: name.parse().map_err(failed)?,
+                plan: plan.plan.clone(),
+            })
+        };
+        let changing = format!("customer-{}", self.changes);
+        let customers = vec![
+            customer("caller".into(), CREDENTIAL)?,
+            customer(changing.clone(), &changing)?,
+        ];
+        Lists::new(customers, vec![plan], services).map_err(|error| error.to_string())
+    }
+
+    fn add_daemons(&mut self) -> Result<(), String> {
+        let offered: Vec<String> = self
+            .plan
+            .services
+            .iter()
+            .flat_map(|(name, upstreams)| std::iter::repeat_n(name.clone(), *upstreams))
+            .collect();
+        for (number, service) in offered.into_iter().enumerate() {
+            let zone = number % self.plan.zones;
+            let platform_address = self.fleet.platform_address();
+            let name = format!("instance-{number}");
+            self.fleet.add_spec(&DaemonSpec {
+                availability_zone: format!("zone-{zone}"),
+                extra_settings: "worker_threads: 32\n".into(),
+                instance: name.clone(),
+                platform_address,
+                region: "region-1".into(),
+                upstream: Some(UpstreamSettings {
+                    address: platform_address,
+                    announcements_address: platform_address,
+                    behaviour: UpstreamBehaviour::Plain,
+                    ledger: Some(self.fleet.ledger_path()),
+                    name,
+                    service,
+                    service_time: self.plan.service_time,
+                    slots: self.plan.slots,
+                }),
+            })?;
+        }
+        Ok(())
+    }
+
+    fn addresses<T>(&self, of: fn(&medlarspool_daemon::Settings) -> T) -> Vec<T> {
+        let daemons = self.fleet.daemons.iter();
+        daemons.map(|daemon| of(&daemon.settings)).collect()
+    }
+
+    fn wait_until_served(&self) -> Result<(), String> {
+        for at in 0..self.fleet.daemons.len() {
+            for (service, _) in &self.plan.services {
+                let path = format!("/{service}/warm");
+                self.fleet.call_until(at, &path, CREDENTIAL, 200)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -6,7 +6,7 @@
 };
 
 use medlarspool_config::{CredentialHash, Lists};
-use medlarspool_platform::{Change, CommitOutcome, HttpPlatform, commit, read_head};
+use medlarspool_platform::{Change, CommitOutcome, FakeFaults, HttpPlatform, commit, read_head};
 use medlarspool_types::{ConfigHead, IdError};
 use tempfile::TempDir;
 
@@ -76,7 +76,7 @@
         let name = format!("instance-{number}");
         let spec = DaemonSpec {
             availability_zone: availability_zone.into(),
-            extra_settings: "spread:\n  join_spread_ms: 200\n".into(),
+            extra_settings: "platform_poll_interval_ms: 200\n".into(),
             instance: name.clone(),
             platform_address: self.platform_address,
             region: "region-1".into(),
@@ -84,6 +84,7 @@
                 address: self.platform_address,
                 announcements_address: self.platform_address,
                 behaviour,
+                ledger: Some(self.ledger_path()),
                 name,
                 service: service.into(),
                 service_time,
@@ -149,6 +150,29 @@
         }
     }
 
+    /// Returns where the fleet's upstreams note each run.
+    #[must_use]
+    pub fn ledger_path(&self) -> PathBuf {
+        self.folder.path().join("ledger")
+    }
+
+    /// Makes the platform fail, or not any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the platform can't be told.
+    pub fn set_store_faults(&self, faults: &FakeFaults) -> Result<(), String> {
+        let faults = serde_json::to_string(faults).map_err(|error| error.to_string())?;
+        ureq::put(format!("http://{}/admin/faults", self.platform_address))
+            .config()
+            .timeout_global(Some(PLATFORM_TIMEOUT))
+            .build()
+            .header("authorization", format!("Bearer {PLATFORM_TOKEN}"))
+            .send(faults)
+            .map_err(|error| error.to_string())?;
+        Ok(())
+    }
+
     /// Returns a client of the fleet's platform.
     #[must_use]
     pub fn platform_client(&self) -> HttpPlatform {
--- /dev/null
+++ b/crates/bench/src/promise_count.rs
@@ -0,0 +1,24 @@
+/// How often a promise was put to the test and how often it was broken.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromiseCount {
+    /// How often it was broken.
+    pub broken: u64,
+    /// The promise.
+    pub promise: &'static str,
+    /// How often it was put to the test.
+    pub tested: u64,
+}
+
+impl std::fmt::Display for PromiseCount {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            broken,
+            promise,
+            tested,
+        } = self;
+        write!(
+            formatter,
+            "{promise:<42} tested {tested:>7} broken {broken:>4}"
+        )
+    }
+}
--- a/crates/bench/src/scraped_metrics.rs
+++ b/crates/bench/src/scraped_metrics.rs
@@ -18,9 +18,21 @@
     ///
     /// Returns why they can't be read.
     pub fn read(administration_address: SocketAddr) -> Result<Self, String> {
+        Self::read_within(administration_address, SCRAPE_TIMEOUT)
+    }
+
+    /// Reads the metrics within a time.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they can't be read.
+    pub fn read_within(
+        administration_address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, String> {
         let text = ureq::get(format!("http://{administration_address}/metrics"))
             .config()
-            .timeout_global(Some(SCRAPE_TIMEOUT))
+            .timeout_global(Some(timeout))
             .build()
             .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
             .call()
--- a/crates/bench/src/stand_in_upstream.rs
+++ b/crates/bench/src/stand_in_upstream.rs
@@ -10,7 +10,7 @@
 
 use tiny_http::{Request, Response, Server};
 
-use crate::{UpstreamBehaviour, UpstreamSettings};
+use crate::{RunLedger, UpstreamBehaviour, UpstreamSettings};
 
 /// How often an upstream renews its announcement.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
@@ -29,6 +29,8 @@
 struct State {
     draining: AtomicBool,
     in_flight: AtomicU32,
+    ledger: Option<RunLedger>,
+    life: String,
     runs: Mutex<HashMap<String, u32>>,
     served: AtomicU32,
     settings: UpstreamSettings,
@@ -45,7 +47,7 @@
         let server = Server::http(settings.address).map_err(|error| error.to_string())?;
         let workers = settings.slots * 2;
         let server = Arc::new(server);
-        let state = Arc::new(State::new(settings));
+        let state = Arc::new(State::new(settings)?);
         let mut threads = Vec::new();
         for _ in 0..workers {
             let (server, state) = (Arc::clone(&server), Arc::clone(&state));
@@ -62,10 +64,11 @@
         self.state.lock_runs().clone()
     }
 
-    /// Announces that the upstream is leaving, finishes what it holds and stops.
-    pub fn leave(self) {
+    /// Announces that the upstream is leaving, lingers, finishes what it holds and stops.
+    pub fn leave(self, linger: Duration) {
         self.state.draining.store(true, Ordering::Release);
         self.state.announce();
+        std::thread::sleep(linger);
         while self.state.in_flight.load(Ordering::Acquire) > 0 {
             std::thread::sleep(STOP_CHECK_INTERVAL);
         }
@@ -84,15 +87,18 @@
 }
 
 impl State {
-    fn new(settings: UpstreamSettings) -> Self {
-        Self {
+    fn new(settings: UpstreamSettings) -> Result<Self, String> {
+        let ledger = settings.ledger.as_deref().map(RunLedger::open);
+        Ok(Self {
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
+            ledger: ledger.transpose()?,
+            life: format!("{}.{}", settings.name, std::process::id()),
             runs: Mutex::default(),
             served: AtomicU32::new(0),
             settings,
             stopping: AtomicBool::new(false),
-        }
+        })
     }
 
     fn announce(&self) {
@@ -167,6 +173,9 @@
             .iter()
             .find(|header| header.field.equiv("x-request-id"));
         if let Some(id) = id {
+            if let Some(ledger) = &self.ledger {
+                ledger.note(id.value.as_str(), &self.life);
+            }
             *self.lock_runs().entry(id.value.to_string()).or_default() += 1;
         }
     }
--- a/crates/bench/src/upstream_settings.rs
+++ b/crates/bench/src/upstream_settings.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use crate::UpstreamBehaviour;
 
@@ -11,6 +11,8 @@
     pub announcements_address: SocketAddr,
     /// How it serves.
     pub behaviour: UpstreamBehaviour,
+    /// Where it notes each run, if it does.
+    pub ledger: Option<PathBuf>,
     /// The name that its answers show.
     pub name: String,
     /// The service that it offers.
@@ -25,7 +27,7 @@
     /// Returns the arguments that make the stand-in upstream's process serve by these settings.
     #[must_use]
     pub fn arguments(&self) -> Vec<String> {
-        [
+        let mut arguments: Vec<String> = [
             ("--address", self.address.to_string()),
             ("--announcements", self.announcements_address.to_string()),
             ("--behaviour", self.behaviour.to_string()),
@@ -39,6 +41,10 @@
         ]
         .into_iter()
         .flat_map(|(name, value)| [name.to_owned(), value])
-        .collect()
+        .collect();
+        if let Some(ledger) = &self.ledger {
+            arguments.extend(["--ledger".to_owned(), ledger.display().to_string()]);
+        }
+        arguments
     }
 }
--- /dev/null
+++ b/crates/bench/src/version_watch.rs
@@ -0,0 +1,77 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use crate::ScrapedMetrics;
+
+/// The pause between two looks at the fleet.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How often versions were looked at and how often one went back.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct VersionCount {
+    /// Looks at a daemon that serves by some version.
+    pub looks: u64,
+    /// Looks that found an older version than an earlier look, whatever life of the daemon showed it.
+    pub reversions: u64,
+}
+
+/// Looks at the version that each daemon serves by, all the time.
+pub struct VersionWatch {
+    stopping: Arc<AtomicBool>,
+    thread: JoinHandle<VersionCount>,
+}
+
+impl VersionWatch {
+    /// Starts to look at daemons by their administration addresses.
+    #[must_use]
+    pub fn start(administration: Vec<SocketAddr>) -> Self {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let watched = Arc::clone(&stopping);
+        let thread = std::thread::spawn(move || watch(&administration, &watched));
+        Self { stopping, thread }
+    }
+
+    /// Stops to look.
+    ///
+    /// # Panics
+    ///
+    /// If the watching thread panicked.
+    #[must_use]
+    pub fn stop(self) -> VersionCount {
+        self.stopping.store(true, Ordering::Release);
+        self.thread.join().expect("the watch does not panic")
+    }
+}
+
+fn watch(administration: &[SocketAddr], stopping: &AtomicBool) -> VersionCount {
+    let mut count = VersionCount::default();
+    let mut highest: HashMap<SocketAddr, f64> = HashMap::new();
+    while !stopping.load(Ordering::Acquire) {
+        for address in administration {
+            let Ok(metrics) = ScrapedMetrics::read_within(*address, LOOK_INTERVAL) else {
+                continue;
+            };
+            let version = metrics.value("medlarspool_config_version");
+            if version == 0.0 {
+                continue;
+            }
+            count.looks += 1;
+            let highest = highest.entry(*address).or_default();
+            if version < *highest {
+                count.reversions += 1;
+                log::error!(address = address.to_string().as_str(), version = version, before = *highest; "a version went back");
+            }
+            *highest = highest.max(version);
+        }
+        std::thread::sleep(LOOK_INTERVAL);
+    }
+    count
+}
--- a/crates/spread/src/spread_counters.rs
+++ b/crates/spread/src/spread_counters.rs
@@ -1,9 +1,7 @@
-use serde::Serialize;
-
 use crate::Refusal;
 
 /// What the core has counted since it began; each only grows.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SpreadCounters {
     /// Versions taken into use.
     pub applied: u64,
