--- a/crates/bench/examples/quickstart.rs
+++ b/crates/bench/examples/quickstart.rs
@@ -132,7 +132,7 @@
     let instance = format!("instance-{number}");
     Ok(DaemonSpec {
         availability_zone: format!("za-1{}", ["a", "b", "c"][number % 3]),
-        extra_settings: "platform_poll_interval_ms: 200\n".into(),
+        extra_settings: "spread:\n  join_spread_ms: 200\n".into(),
         instance: instance.clone(),
         platform_address: address,
         region: "za-1".into(),
--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -76,7 +76,7 @@
         let name = format!("instance-{number}");
         let spec = DaemonSpec {
             availability_zone: availability_zone.into(),
-            extra_settings: "platform_poll_interval_ms: 200\n".into(),
+            extra_settings: "spread:\n  join_spread_ms: 200\n".into(),
             instance: name.clone(),
             platform_address: self.platform_address,
             region: "region-1".into(),
--- a/crates/daemon/src/administration.rs
+++ b/crates/daemon/src/administration.rs
@@ -55,6 +55,11 @@
             "incarnation": shared.incarnation,
             "instance": shared.settings.instance,
             "region": shared.settings.region,
+            "spread": {
+                "announced": shared.spread.load().announced,
+                "counters": shared.spread.load().counters,
+                "readiness": shared.spread.load().readiness.to_string(),
+            },
         })
     }
 
@@ -71,9 +76,8 @@
         if self.shared.is_draining() {
             return HttpReply::text(503, "draining\n");
         }
-        if self.shared.snapshot.load().is_none() {
-            return HttpReply::text(503, "no configuration is in use yet\n");
-        }
-        HttpReply::text(200, "ready\n")
+        let readiness = self.shared.spread.load().readiness;
+        let status = if readiness.is_ready() { 200 } else { 503 };
+        HttpReply::text(status, &format!("{readiness}\n"))
     }
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -8,16 +8,21 @@
     time::Duration,
 };
 
-use medlarspool_config::Snapshot;
 use medlarspool_membership::MembershipEvent;
 use medlarspool_proto::Datagram;
+use medlarspool_spread::SpreadEvent;
 use stakker::{CX, MinTimerKey, Stakker, actor, call, ret_nop, timer_min};
+use tokio::runtime::Handle;
 
 use crate::{
     DaemonError, control_message::ControlMessage, datagram_socket::DatagramSocket,
     membership_agent::MembershipAgent, platform_job::PlatformJob, shared::Shared,
+    spread_agent::SpreadAgent,
 };
 
+/// The time within which changes of membership are gathered.
+const PEERS_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The longest that the control thread waits for a message.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -25,8 +30,10 @@
 pub(crate) struct Control {
     membership: MembershipAgent,
     membership_timer: MinTimerKey,
-    platform: Sender<PlatformJob>,
+    peers_timer: MinTimerKey,
     shared: Arc<Shared>,
+    spread: SpreadAgent,
+    spread_timer: MinTimerKey,
 }
 
 impl Control {
@@ -35,11 +42,12 @@
         shared: Arc<Shared>,
         socket: Arc<DatagramSocket>,
         platform: Sender<PlatformJob>,
+        runtime: Handle,
         messages: Receiver<ControlMessage>,
     ) -> Result<JoinHandle<()>, DaemonError> {
         std::thread::Builder::new()
             .name("control".into())
-            .spawn(move || serve(&shared, socket, platform, &messages))
+            .spawn(move || serve(&shared, socket, platform, runtime, &messages))
             .map_err(|error| DaemonError::Thread(error.to_string()))
     }
 
@@ -52,20 +60,26 @@
         shared: Arc<Shared>,
         socket: Arc<DatagramSocket>,
         platform: Sender<PlatformJob>,
+        runtime: Handle,
     ) -> Option<Self> {
-        call!([cx], poll());
         call!([cx], wake_membership());
+        call!([cx], wake_spread());
         Some(Self {
-            membership: MembershipAgent::new(Arc::clone(&shared), socket, platform.clone()),
+            membership: MembershipAgent::new(
+                Arc::clone(&shared),
+                Arc::clone(&socket),
+                platform.clone(),
+            ),
             membership_timer: MinTimerKey::default(),
-            platform,
+            peers_timer: MinTimerKey::default(),
+            spread: SpreadAgent::new(Arc::clone(&shared), socket, platform, runtime),
+            spread_timer: MinTimerKey::default(),
             shared,
         })
     }
 
     fn handle(&mut self, cx: CX![], message: ControlMessage) {
         match message {
-            ControlMessage::Configuration(snapshot) => self.put_in_use(snapshot),
             ControlMessage::ConnectionRefused(instance) => self
                 .membership
                 .event(MembershipEvent::ConnectionRefused { instance }),
@@ -77,19 +91,19 @@
             }
             ControlMessage::Interest(service) => self.membership.take_interest(&service),
             ControlMessage::Leave => self.membership.event(MembershipEvent::Leave),
-            ControlMessage::PollDone => {
-                let interval = self.shared.settings.platform_poll_interval;
-                stakker::after!(interval, [cx], poll());
-            }
             ControlMessage::SeedRows {
                 availability_zone,
                 rows,
             } => self.membership.seed_rows_read(availability_zone, rows),
+            ControlMessage::Spread(event) => self.spread.event(event),
             ControlMessage::Stop => {
                 self.membership.event(MembershipEvent::Stop);
                 cx.stop();
                 return;
             }
+            ControlMessage::TransferRequested { asker, base } => {
+                self.spread.transfer_requested(base, asker);
+            }
             ControlMessage::UpstreamAnnounced(announcement) => {
                 self.membership.announce(&announcement);
             }
@@ -98,15 +112,7 @@
             }
         }
         self.schedule_membership(cx);
-    }
-
-    fn poll(&mut self, _: CX![]) {
-        let job = PlatformJob::Poll {
-            held: self.shared.held(),
-        };
-        if self.platform.send(job).is_err() {
-            log::error!("the platform thread is gone");
-        }
+        self.schedule_spread(cx);
     }
 
     fn receive(&mut self, address: SocketAddr, sealed: &[u8]) {
@@ -116,7 +122,20 @@
                 let (address, error) = (address.to_string(), error.to_string());
                 log::debug!(address = address.as_str(), error = error.as_str(); "datagram refused");
             }
-            Ok(datagram) => self.membership.receive(address, datagram),
+            Ok(datagram) => self.take(address, datagram),
+        }
+    }
+
+    fn take(&mut self, address: SocketAddr, mut datagram: Datagram) {
+        let Ok(sender) = datagram.sender.parse() else {
+            self.shared.metrics.datagrams_refused.inc();
+            return;
+        };
+        let payload = datagram.spread.take();
+        self.spread
+            .receive(address, sender, datagram.head(), payload);
+        if datagram.membership.is_some() {
+            self.membership.receive(address, datagram);
         }
     }
 
@@ -125,24 +144,32 @@
         timer_min!(&mut self.membership_timer, next, [cx], wake_membership());
     }
 
+    fn schedule_spread(&mut self, cx: CX![]) {
+        if let Some(next) = self.spread.next_wakeup() {
+            timer_min!(&mut self.spread_timer, next, [cx], wake_spread());
+        }
+        if self.membership.peers_changed() {
+            let next = self.shared.clock.now() + PEERS_INTERVAL;
+            timer_min!(&mut self.peers_timer, next, [cx], tell_peers());
+        }
+    }
+
+    /// Tells the spreading of changes who lives; many changes within a moment are told at once.
+    fn tell_peers(&mut self, cx: CX![]) {
+        let peers = self.membership.take_peers();
+        self.spread.event(SpreadEvent::PeersChanged(peers));
+        self.schedule_spread(cx);
+    }
+
     fn wake_membership(&mut self, cx: CX![]) {
         self.membership.tick();
         self.schedule_membership(cx);
+        self.schedule_spread(cx);
     }
 
-    fn put_in_use(&mut self, snapshot: Arc<Snapshot>) {
-        let head = snapshot.head();
-        if head.version <= self.shared.held().version {
-            self.shared.metrics.config_refused.inc();
-            return;
-        }
-        self.shared.snapshot.store(Some(snapshot));
-        self.shared.metrics.config_applied.inc();
-        self.shared
-            .metrics
-            .config_version
-            .set(i64::try_from(head.version.0).unwrap_or(i64::MAX));
-        log::info!(version = head.version.0; "configuration in use");
+    fn wake_spread(&mut self, cx: CX![]) {
+        self.spread.event(SpreadEvent::Tick);
+        self.schedule_spread(cx);
     }
 }
 
@@ -150,12 +177,13 @@
     shared: &Arc<Shared>,
     socket: Arc<DatagramSocket>,
     platform: Sender<PlatformJob>,
+    runtime: Handle,
     messages: &Receiver<ControlMessage>,
 ) {
     let mut stakker = Stakker::new(shared.clock.now());
     let control = actor!(
         stakker,
-        Control::init(Arc::clone(shared), socket, platform),
+        Control::init(Arc::clone(shared), socket, platform, runtime),
         ret_nop!()
     );
     stakker.run(shared.clock.now(), false);
--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -1,18 +1,15 @@
-use std::{
-    net::SocketAddr,
-    sync::{Arc, mpsc::Sender},
-};
+use std::{net::SocketAddr, sync::mpsc::Sender};
 
-use medlarspool_config::Snapshot;
 use medlarspool_membership::SeedRow;
-use medlarspool_types::{AvailabilityZone, InstanceId, ServiceName};
+use medlarspool_proto::TransferReply;
+use medlarspool_spread::SpreadEvent;
+use medlarspool_types::{AvailabilityZone, ConfigHead, InstanceId, ServiceName};
+use tokio::sync::oneshot;
 
 use crate::Announcement;
 
 /// What the edges tell the control thread.
 pub(crate) enum ControlMessage {
-    /// A checked configuration is ready to be put in use.
-    Configuration(Arc<Snapshot>),
     /// A connection to a peer's gate was refused.
     ConnectionRefused(InstanceId),
     /// A datagram of a peer came, still sealed.
@@ -28,8 +25,6 @@
     Interest(ServiceName),
     /// The daemon takes no new work.
     Leave,
-    /// The store was read; a failed read leaves everything as it is.
-    PollDone,
     /// Seed rows were read, or could not be.
     SeedRows {
         /// Whose rows were asked for; nothing for all.
@@ -37,8 +32,17 @@
         /// The rows, unless the store could not be read.
         rows: Option<Vec<SeedRow>>,
     },
+    /// Something happened to the spreading of changes.
+    Spread(SpreadEvent),
     /// The daemon is stopping.
     Stop,
+    /// A peer asks for lists.
+    TransferRequested {
+        /// Who waits for the answer.
+        asker: oneshot::Sender<TransferReply>,
+        /// The version that the peer holds, if updates from it will do.
+        base: Option<ConfigHead>,
+    },
     /// The upstream beside this daemon announced itself or renewed.
     UpstreamAnnounced(Announcement),
     /// The upstream beside this daemon refused a connection.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,9 +8,10 @@
     time::{Duration, SystemTime},
 };
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use medlarspool_platform::Platform;
 use medlarspool_proto::{FleetKey, MAX_MESSAGE_BYTES, PeerServer};
+use medlarspool_spread::SnapshotHolder;
 use medlarspool_types::{Clock, ConfigHead, Incarnation};
 use tokio::{
     net::TcpListener,
@@ -24,7 +25,7 @@
     bounded_server::BoundedServer, control::Control, control_message::ControlMessage,
     datagram_socket::DatagramSocket, directory::Directory, entry::Entry, gate::Gate,
     local_upstream::LocalUpstream, metrics::Metrics, peer_edge::PeerEdge, peer_pool::PeerPool,
-    platform_worker::PlatformWorker, shared::Shared,
+    platform_worker::PlatformWorker, shared::Shared, spread_state::SpreadState,
 };
 
 /// Workers of the administration and the announcement servers.
@@ -65,7 +66,13 @@
         let threads = vec![
             Arc::clone(&socket).receive(control.clone())?,
             PlatformWorker::start(Arc::clone(&shared), platform, control.clone(), job_queue)?,
-            Control::start(Arc::clone(&shared), socket, jobs, control_messages)?,
+            Control::start(
+                Arc::clone(&shared),
+                socket,
+                jobs,
+                runtime.handle().clone(),
+                control_messages,
+            )?,
         ];
         let (peers_stop, stopped) = oneshot::channel();
         serve_peers(&runtime, &shared, &gate, stopped)?;
@@ -138,6 +145,7 @@
         })?;
     let edge = PeerEdge {
         gate: Arc::clone(gate),
+        shared: Arc::clone(shared),
     };
     let server = PeerServer::new(Arc::new(edge), shared.key.clone());
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
@@ -176,7 +184,8 @@
         local_upstream: LocalUpstream::default(),
         metrics,
         settings,
-        snapshot: ArcSwapOption::empty(),
+        snapshot: SnapshotHolder::default(),
+        spread: ArcSwap::from_pointee(SpreadState::default()),
         stopped: AtomicBool::new(false),
     })
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -49,7 +49,7 @@
     }
 
     fn admit(&self, request: &mut Request) -> Result<(CallRequest, Duration), HttpReply> {
-        let snapshot = self.shared.snapshot.load_full();
+        let snapshot = self.shared.serving();
         let snapshot =
             snapshot.ok_or_else(|| HttpReply::text(503, "no configuration is in use yet\n"))?;
         let (service, path) = split_path(request.url())?;
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -57,7 +57,7 @@
     }
 
     fn check_plan(&self, request: &CallRequest) -> Result<(), Refusal> {
-        let snapshot = self.shared.snapshot.load();
+        let snapshot = self.shared.serving();
         let snapshot = snapshot.as_ref().ok_or(Refusal::NoConfiguration)?;
         let admitted_version = request.admitted_by.map_or(0, |head| head.version);
         if snapshot.head().version.0 < admitted_version {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,10 +28,14 @@
 mod run;
 mod settings;
 mod shared;
+mod spread_agent;
+mod spread_apply;
+mod spread_options;
+mod spread_state;
 mod upstream_client;
 mod upstream_record;
 
 pub use crate::{
     announcement::Announcement, daemon::Daemon, daemon_error::DaemonError, run::run,
-    settings::Settings,
+    settings::Settings, spread_options::SpreadOptions,
 };
--- a/crates/daemon/src/membership_agent.rs
+++ b/crates/daemon/src/membership_agent.rs
@@ -9,6 +9,7 @@
     Message, SeedRow, UpstreamAnnouncement, UpstreamState, UpstreamView,
 };
 use medlarspool_proto::{Datagram, MembershipPayload};
+use medlarspool_spread::SpreadPeer;
 use medlarspool_types::{AvailabilityZone, Incarnation, ServiceName};
 use serde_json::json;
 
@@ -23,6 +24,7 @@
     core: Membership,
     generation: u64,
     interests: Vec<ServiceName>,
+    peers_changed: bool,
     platform: Sender<PlatformJob>,
     shared: Arc<Shared>,
     socket: Arc<DatagramSocket>,
@@ -50,6 +52,7 @@
             core: Membership::new(MembershipSettings::default(), me, seed, now),
             generation: 0,
             interests: Vec::new(),
+            peers_changed: true,
             platform,
             shared,
             socket,
@@ -111,6 +114,9 @@
         self.core
             .handle(self.shared.clock.now(), event, &mut actions);
         let mut is_directory_old = false;
+        self.peers_changed |= actions
+            .iter()
+            .any(|action| matches!(action, MembershipAction::MemberChanged { .. }));
         for action in actions {
             is_directory_old |= self.act(action);
         }
@@ -119,6 +125,29 @@
         }
     }
 
+    /// Returns whether other daemons came or went since the last [`Self::take_peers`].
+    pub(crate) fn peers_changed(&self) -> bool {
+        self.peers_changed
+    }
+
+    /// Returns the daemons that changes are spread to and taken from.
+    pub(crate) fn take_peers(&mut self) -> Vec<SpreadPeer> {
+        self.peers_changed = false;
+        let living = self
+            .core
+            .members()
+            .filter(|member| member.state.is_living());
+        living
+            .map(|member| &member.announcement.member)
+            .map(|member| SpreadPeer {
+                address: member.control_address,
+                availability_zone: member.availability_zone.clone(),
+                instance: member.instance.clone(),
+                region: member.region.clone(),
+            })
+            .collect()
+    }
+
     pub(crate) fn next_wakeup(&self) -> Instant {
         self.core.next_wakeup()
     }
@@ -218,8 +247,8 @@
 
     fn send(&self, address: SocketAddr, message: &Message) {
         let me = &self.core.me().member;
-        let held = self.shared.held();
-        let mut datagram = Datagram::from_sender(&me.instance, me.incarnation, held);
+        let head = self.shared.spread.load().announced;
+        let mut datagram = Datagram::from_sender(&me.instance, me.incarnation, head);
         datagram.membership = Some(MembershipPayload::from(message));
         self.socket.send(address, &datagram.seal(&self.shared.key));
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,4 +1,5 @@
 use medlarspool_membership::MembershipCounters;
+use medlarspool_spread::SpreadCounters;
 use prometheus::{
     Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -17,6 +18,7 @@
     pub(crate) datagrams_unsent: IntCounter,
     membership_events: IntGaugeVec,
     members_living: IntGauge,
+    spread_events: IntGaugeVec,
     pub(crate) store_failures: IntCounter,
     pub(crate) store_reads: IntCounter,
     pub(crate) store_writes: IntCounter,
@@ -53,6 +55,14 @@
             ),
             &["kind"],
         )?;
+        let spread_events = IntGaugeVec::new(
+            Opts::new(
+                "medlarspool_spread_events",
+                "What the spreading of changes did since the start, by kind, in events",
+            ),
+            &["kind"],
+        )?;
+        registry.register(Box::new(spread_events.clone()))?;
         registry.register(Box::new(members_living.clone()))?;
         registry.register(Box::new(membership_events.clone()))?;
         registry.register(Box::new(calls.clone()))?;
@@ -94,6 +104,7 @@
             )?,
             membership_events,
             members_living,
+            spread_events,
             store_failures: counter(
                 "medlarspool_store_failures_total",
                 "Failed requests to the platform's store, in requests",
@@ -134,6 +145,28 @@
         }
     }
 
+    /// Takes over the counts of the spreading core.
+    pub(crate) fn record_spread(&self, counters: &SpreadCounters) {
+        let kinds = [
+            ("applied", counters.applied),
+            ("conflict", counters.conflicts),
+            ("damaged", counters.damaged),
+            ("head_read", counters.store_reads),
+            ("head_read_failed", counters.store_failures),
+            ("lists_read", counters.store_fetches),
+            ("pull", counters.pulls),
+            ("refused", counters.refused.iter().sum()),
+            ("store_behind", counters.store_behind),
+            ("transfer_asked", counters.peer_fetches),
+            ("transfer_busy", counters.transfers_busy),
+            ("transfer_granted", counters.transfers_granted),
+        ];
+        for (kind, count) in kinds {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.spread_events.with_label_values(&[kind]).set(count);
+        }
+    }
+
     /// Returns all metrics in Prometheus' text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/daemon/src/platform_job.rs
+++ b/crates/daemon/src/platform_job.rs
@@ -3,10 +3,12 @@
 
 /// What the control thread asks of the thread that talks to the platform.
 pub(crate) enum PlatformJob {
-    /// Fetch the lists if they are newer.
-    Poll {
-        /// The head that is held.
-        held: ConfigHead,
+    /// Read the head.
+    ReadHead,
+    /// Read the lists of a version and put them in use.
+    ReadLists {
+        /// The version.
+        head: ConfigHead,
     },
     /// Read the seed rows of one availability zone, or of all.
     ReadSeedRows {
--- a/crates/daemon/src/platform_worker.rs
+++ b/crates/daemon/src/platform_worker.rs
@@ -6,9 +6,9 @@
     thread::JoinHandle,
 };
 
-use medlarspool_config::Snapshot;
 use medlarspool_membership::SeedRow;
 use medlarspool_platform::{Platform, PlatformError, read_head, read_lists};
+use medlarspool_spread::{FetchOutcome, FetchSource, SpreadEvent};
 use medlarspool_types::{AvailabilityZone, ConfigHead};
 
 use crate::{
@@ -17,6 +17,7 @@
     membership_seeds::{read_seed_rows, write_seed_row},
     platform_job::PlatformJob,
     shared::Shared,
+    spread_apply,
 };
 
 /// The thread that alone waits for the platform, so that a slow store holds up nothing else.
@@ -47,7 +48,8 @@
     fn serve(&self, jobs: &Receiver<PlatformJob>) {
         for job in jobs {
             match job {
-                PlatformJob::Poll { held } => self.poll(held),
+                PlatformJob::ReadHead => self.read_head(),
+                PlatformJob::ReadLists { head } => self.read_lists(head),
                 PlatformJob::ReadSeedRows { availability_zone } => {
                     self.read_seed_rows(availability_zone);
                 }
@@ -58,11 +60,32 @@
         }
     }
 
-    fn poll(&self, held: ConfigHead) {
-        if let Err(error) = self.fetch_newer(held) {
-            self.count_failure(&error);
-        }
-        self.tell(ControlMessage::PollDone);
+    fn read_head(&self) {
+        self.shared.metrics.store_reads.inc();
+        let event = match read_head(self.platform.as_ref()) {
+            Ok(head) => SpreadEvent::HeadRead(head.unwrap_or_default()),
+            Err(error) => {
+                self.count_failure(&error);
+                SpreadEvent::HeadReadFailed
+            }
+        };
+        self.tell(ControlMessage::Spread(event));
+    }
+
+    fn read_lists(&self, head: ConfigHead) {
+        self.shared.metrics.store_reads.inc();
+        let outcome = match read_lists(self.platform.as_ref(), head) {
+            Ok(lists) => spread_apply::take_lists(&self.shared, head, lists),
+            Err(error) => {
+                self.count_failure(&error);
+                FetchOutcome::Failed
+            }
+        };
+        self.tell(ControlMessage::Spread(SpreadEvent::Fetched {
+            head,
+            outcome,
+            source: FetchSource::Store,
+        }));
     }
 
     fn count_failure(&self, error: &PlatformError) {
@@ -90,26 +113,6 @@
         }
     }
 
-    fn fetch_newer(&self, held: ConfigHead) -> Result<(), PlatformError> {
-        self.shared.metrics.store_reads.inc();
-        let Some(newest) = read_head(self.platform.as_ref())? else {
-            return Ok(());
-        };
-        if newest.version <= held.version {
-            return Ok(());
-        }
-        self.shared.metrics.store_reads.inc();
-        let lists = read_lists(self.platform.as_ref(), newest)?;
-        match Snapshot::build(newest, Arc::new(lists)) {
-            Ok(snapshot) => self.tell(ControlMessage::Configuration(Arc::new(snapshot))),
-            Err(error) => {
-                self.shared.metrics.config_refused.inc();
-                log::error!(version = newest.version.0, error = error.to_string().as_str(); "configuration refused");
-            }
-        }
-        Ok(())
-    }
-
     fn tell(&self, message: ControlMessage) {
         if self.control.send(message).is_err() {
             log::debug!("the control thread is gone");
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::DaemonError;
+use crate::{DaemonError, SpreadOptions};
 
 /// Everything that a daemon is told from outside, read once from a YAML file.
 ///
@@ -39,7 +39,7 @@
     pub peers_address: SocketAddr,
     /// Where the platform's service is reached.
     pub platform_address: SocketAddr,
-    /// How often the head is read from the store, in milliseconds.
+    /// How often the head is read from the store in mode `poll`, in milliseconds.
     #[serde(
         rename = "platform_poll_interval_ms",
         default = "default_poll_interval"
@@ -54,6 +54,9 @@
     pub platform_token: String,
     /// The region that the availability zone belongs to.
     pub region: Region,
+    /// How changes of the configuration spread.
+    #[serde(default)]
+    pub spread: SpreadOptions,
     /// How many callers' requests are worked on at once.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: usize,
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,14 +4,15 @@
     mpsc::Sender,
 };
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use medlarspool_config::Snapshot;
 use medlarspool_proto::FleetKey;
+use medlarspool_spread::SnapshotHolder;
 use medlarspool_types::{Clock, ConfigHead, Incarnation};
 
 use crate::{
     Settings, control_message::ControlMessage, directory::Directory, local_upstream::LocalUpstream,
-    metrics::Metrics,
+    metrics::Metrics, spread_state::SpreadState,
 };
 
 /// What the daemon's edges and its control thread share.
@@ -25,17 +26,21 @@
     pub(crate) local_upstream: LocalUpstream,
     pub(crate) metrics: Metrics,
     pub(crate) settings: Settings,
-    pub(crate) snapshot: ArcSwapOption<Snapshot>,
+    pub(crate) snapshot: SnapshotHolder<Snapshot>,
+    pub(crate) spread: ArcSwap<SpreadState>,
     pub(crate) stopped: AtomicBool,
 }
 
 impl Shared {
     /// Returns the head of the configuration in use, or the default one before the first.
     pub(crate) fn held(&self) -> ConfigHead {
-        self.snapshot
-            .load()
-            .as_ref()
-            .map_or_else(ConfigHead::default, |snapshot| snapshot.head())
+        self.snapshot.head()
+    }
+
+    /// Returns the configuration that calls are served by; nothing until its version is confirmed.
+    pub(crate) fn serving(&self) -> Option<Arc<Snapshot>> {
+        let is_ready = self.spread.load().readiness.is_ready();
+        self.snapshot.load_full().filter(|_| is_ready)
     }
 
     /// Tells the control thread something; once that has ended, nobody needs to know.
--- /dev/null
+++ b/crates/daemon/src/spread_agent.rs
@@ -0,0 +1,242 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, mpsc::Sender},
+    time::{Duration, Instant},
+};
+
+use medlarspool_proto::{Datagram, SpreadPayload, TransferReply, TransferRequest};
+use medlarspool_spread::{
+    DeltaUpdate, FetchOutcome, FetchSource, Spread, SpreadAction, SpreadEvent, SpreadMessage,
+    SpreadPeer,
+};
+use medlarspool_types::{ConfigHead, InstanceId};
+use prost::Message;
+use tokio::{runtime::Handle, sync::oneshot};
+
+use crate::{
+    control_message::ControlMessage, datagram_socket::DatagramSocket, peer_pool::PeerPool,
+    platform_job::PlatformJob, shared::Shared, spread_apply, spread_state::SpreadState,
+};
+
+/// How long a transfer from a peer may take.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Carries out what the spreading core asks for, and tells it what happens.
+pub(crate) struct SpreadAgent {
+    askers: HashMap<u64, oneshot::Sender<TransferReply>>,
+    core: Spread,
+    next_ticket: u64,
+    peers: Arc<PeerPool>,
+    platform: Sender<PlatformJob>,
+    runtime: Handle,
+    shared: Arc<Shared>,
+    socket: Arc<DatagramSocket>,
+}
+
+impl SpreadAgent {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        socket: Arc<DatagramSocket>,
+        platform: Sender<PlatformJob>,
+        runtime: Handle,
+    ) -> Self {
+        let settings = &shared.settings;
+        let me = SpreadPeer {
+            address: settings.peers_address,
+            availability_zone: settings.availability_zone.clone(),
+            instance: settings.instance.clone(),
+            region: settings.region.clone(),
+        };
+        let seed = shared.incarnation.0 ^ u64::from(std::process::id());
+        let options = settings.spread.settings(settings.platform_poll_interval);
+        let core = Spread::new(options, me, seed, shared.clock.now());
+        Self {
+            askers: HashMap::new(),
+            core,
+            next_ticket: 0,
+            peers: Arc::new(PeerPool::new(shared.key.clone(), runtime.clone())),
+            platform,
+            runtime,
+            shared,
+            socket,
+        }
+    }
+
+    /// Hands an event to the core and does what it asks for.
+    pub(crate) fn event(&mut self, event: SpreadEvent) {
+        let mut actions = Vec::new();
+        self.core
+            .handle(self.shared.clock.now(), event, &mut actions);
+        self.publish();
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    pub(crate) fn next_wakeup(&self) -> Option<Instant> {
+        self.core.next_wakeup()
+    }
+
+    /// Takes what a datagram's envelope shows and what it says about changes.
+    pub(crate) fn receive(
+        &mut self,
+        address: SocketAddr,
+        from: InstanceId,
+        head: ConfigHead,
+        payload: Option<SpreadPayload>,
+    ) {
+        match payload.map(SpreadMessage::try_from) {
+            None => self.event(SpreadEvent::PeerHead { from, head }),
+            Some(Ok(message)) => self.event(SpreadEvent::Message {
+                address,
+                from,
+                head,
+                message,
+            }),
+            Some(Err(error)) => {
+                self.shared.metrics.datagrams_refused.inc();
+                let error = error.to_string();
+                log::debug!(error = error.as_str(); "a datagram about changes was refused");
+            }
+        }
+    }
+
+    /// Takes a peer's request for a transfer.
+    pub(crate) fn transfer_requested(
+        &mut self,
+        base: Option<ConfigHead>,
+        asker: oneshot::Sender<TransferReply>,
+    ) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.askers.insert(ticket, asker);
+        self.event(SpreadEvent::TransferRequested { base, ticket });
+    }
+
+    fn publish(&self) {
+        let state = SpreadState {
+            announced: self.core.announced_head(),
+            counters: self.core.counters(),
+            readiness: self.core.readiness(),
+        };
+        let before = self.shared.spread.load();
+        if before.readiness != state.readiness {
+            let readiness = state.readiness.to_string();
+            log::info!(readiness = readiness.as_str(); "readiness");
+        }
+        self.shared.metrics.record_spread(&state.counters);
+        self.shared.spread.store(Arc::new(state));
+    }
+
+    fn act(&mut self, action: SpreadAction) {
+        match action {
+            SpreadAction::Apply { source, updates } => self.apply(source, updates),
+            SpreadAction::Fetch { base, head, source } => match source {
+                FetchSource::Peer(peer) => self.fetch_from_peer(base, head, peer),
+                FetchSource::Offer(_) | FetchSource::Store => {
+                    self.ask_platform(PlatformJob::ReadLists { head });
+                }
+            },
+            SpreadAction::ReadHead => self.ask_platform(PlatformJob::ReadHead),
+            SpreadAction::Send {
+                address, message, ..
+            } => self.send(address, &message),
+            SpreadAction::TransferBusy {
+                retry_after,
+                ticket,
+            } => answer(
+                self.askers.remove(&ticket),
+                TransferReply::busy(retry_after),
+            ),
+            SpreadAction::TransferGranted { ticket, updates } => self.give(ticket, updates),
+            SpreadAction::Verify => self.verify(),
+        }
+    }
+
+    fn apply(&self, source: FetchSource, updates: Vec<DeltaUpdate>) {
+        let shared = Arc::clone(&self.shared);
+        self.runtime.spawn_blocking(move || {
+            let head = updates
+                .last()
+                .map_or_else(ConfigHead::default, |last| last.head);
+            let outcome = spread_apply::take_updates(&shared, updates);
+            tell_fetched(&shared, head, source, outcome);
+        });
+    }
+
+    fn ask_platform(&self, job: PlatformJob) {
+        if self.platform.send(job).is_err() {
+            log::error!("the platform thread is gone");
+        }
+    }
+
+    fn fetch_from_peer(&self, base: Option<ConfigHead>, head: ConfigHead, peer: SpreadPeer) {
+        let (peers, shared) = (Arc::clone(&self.peers), Arc::clone(&self.shared));
+        self.runtime.spawn(async move {
+            let request = TransferRequest {
+                base: base.map(Into::into),
+            };
+            let reply = match peers.client(peer.address) {
+                Ok(client) => client.transfer(request, TRANSFER_TIMEOUT).await.ok(),
+                Err(_) => None,
+            };
+            let source = FetchSource::Peer(peer);
+            let Some(reply) = reply else {
+                return tell_fetched(&shared, head, source, FetchOutcome::Failed);
+            };
+            tokio::task::spawn_blocking(move || {
+                let bytes = reply.encoded_len() as u64;
+                shared.metrics.control_bytes_received.inc_by(bytes);
+                let outcome = spread_apply::take_transfer(&shared, &reply);
+                tell_fetched(&shared, head, source, outcome);
+            });
+        });
+    }
+
+    fn give(&mut self, ticket: u64, updates: Option<Vec<DeltaUpdate>>) {
+        let asker = self.askers.remove(&ticket);
+        let shared = Arc::clone(&self.shared);
+        self.runtime.spawn_blocking(move || {
+            let reply = spread_apply::transfer(&shared, updates);
+            let bytes = reply.encoded_len() as u64;
+            shared.metrics.control_bytes_sent.inc_by(bytes);
+            answer(asker, reply);
+            shared.tell_control(ControlMessage::Spread(SpreadEvent::TransferEnded));
+        });
+    }
+
+    fn send(&self, address: SocketAddr, message: &SpreadMessage) {
+        let instance = &self.shared.settings.instance;
+        let head = self.core.announced_head();
+        let mut datagram = Datagram::from_sender(instance, self.shared.incarnation, head);
+        datagram.spread = Some(message.into());
+        self.socket.send(address, &datagram.seal(&self.shared.key));
+    }
+
+    fn verify(&self) {
+        let shared = Arc::clone(&self.shared);
+        self.runtime.spawn_blocking(move || {
+            let intact = spread_apply::is_intact(&shared);
+            if !intact {
+                log::error!("the lists in use are damaged");
+            }
+            shared.tell_control(ControlMessage::Spread(SpreadEvent::Verified { intact }));
+        });
+    }
+}
+
+fn answer(asker: Option<oneshot::Sender<TransferReply>>, reply: TransferReply) {
+    let is_gone = asker.is_none_or(|asker| asker.send(reply).is_err());
+    if is_gone {
+        log::debug!("nobody waits for the transfer any more");
+    }
+}
+
+fn tell_fetched(shared: &Shared, head: ConfigHead, source: FetchSource, outcome: FetchOutcome) {
+    shared.tell_control(ControlMessage::Spread(SpreadEvent::Fetched {
+        head,
+        outcome,
+        source,
+    }));
+}
--- /dev/null
+++ b/crates/daemon/src/spread_apply.rs
@@ -0,0 +1,98 @@
+//! Builds snapshots beside the one in use and swaps them; runs off the control thread.
+
+use std::sync::Arc;
+
+use medlarspool_config::{Lists, Snapshot};
+use medlarspool_proto::{TransferReply, read_updates};
+use medlarspool_spread::{
+    DeltaUpdate, FetchOutcome, Refusal, apply_updates, refusal_of, update_between,
+};
+use medlarspool_types::ConfigHead;
+
+use crate::shared::Shared;
+
+/// Takes consecutive updates into use.
+pub(crate) fn take_updates(shared: &Shared, updates: Vec<DeltaUpdate>) -> FetchOutcome {
+    let built = shared
+        .snapshot
+        .load_full()
+        .ok_or(Refusal::BaseMismatch)
+        .and_then(|base| apply_updates(&base, &updates));
+    match built {
+        Ok(snapshot) => swap(shared, snapshot, updates),
+        Err(reason) => refuse(shared, reason),
+    }
+}
+
+/// Takes whole lists into use and finds what changed, so that peers get that only.
+pub(crate) fn take_lists(shared: &Shared, head: ConfigHead, lists: Lists) -> FetchOutcome {
+    match Snapshot::build(head, Arc::new(lists)) {
+        Ok(snapshot) => {
+            let base = shared.snapshot.load_full();
+            let base = base.filter(|base| base.head().version < head.version);
+            let update = base.map(|base| update_between(&base, &snapshot));
+            swap(shared, snapshot, Vec::from_iter(update))
+        }
+        Err(error) => refuse(shared, refusal_of(&error)),
+    }
+}
+
+/// Takes what another daemon sent into use.
+pub(crate) fn take_transfer(shared: &Shared, reply: &TransferReply) -> FetchOutcome {
+    if let Some(retry_after) = reply.retry_after() {
+        return FetchOutcome::Busy { retry_after };
+    }
+    if reply.deltas.is_empty() {
+        return match Lists::decode(&reply.lists) {
+            Ok(lists) => take_lists(shared, reply.head(), lists),
+            Err(_) => refuse(shared, Refusal::Damaged),
+        };
+    }
+    match read_updates(&reply.deltas) {
+        Ok(updates) => take_updates(shared, updates),
+        Err(_) => refuse(shared, Refusal::Damaged),
+    }
+}
+
+/// Returns what a peer gets that asked for a transfer.
+pub(crate) fn transfer(shared: &Shared, updates: Option<Vec<DeltaUpdate>>) -> TransferReply {
+    let Some(snapshot) = shared.snapshot.load_full() else {
+        return TransferReply::default();
+    };
+    let mut reply = TransferReply {
+        head: Some(snapshot.head().into()),
+        ..TransferReply::default()
+    };
+    match updates {
+        Some(updates) => {
+            reply.deltas = updates.iter().map(|update| update.delta.to_vec()).collect();
+        }
+        None => reply.lists = snapshot.lists().encode(),
+    }
+    reply
+}
+
+/// Returns whether the lists in use still match their digest; counted anew, not remembered.
+pub(crate) fn is_intact(shared: &Shared) -> bool {
+    let snapshot = shared.snapshot.load_full();
+    snapshot.is_none_or(|snapshot| snapshot.lists().digest() == snapshot.head().digest)
+}
+
+fn swap(shared: &Shared, snapshot: Snapshot, updates: Vec<DeltaUpdate>) -> FetchOutcome {
+    let head = snapshot.head();
+    if let Err(reason) = shared.snapshot.swap_if_newer(head, Arc::new(snapshot)) {
+        return refuse(shared, reason);
+    }
+    shared.metrics.config_applied.inc();
+    let version = i64::try_from(head.version.0).unwrap_or(i64::MAX);
+    shared.metrics.config_version.set(version);
+    log::info!(version = head.version.0; "configuration in use");
+    FetchOutcome::Applied { head, updates }
+}
+
+fn refuse(shared: &Shared, reason: Refusal) -> FetchOutcome {
+    shared.metrics.config_refused.inc();
+    let reason_text = reason.to_string();
+    log::warn!(reason = reason_text.as_str(); "configuration refused");
+    FetchOutcome::Refused(reason)
+}
--- a/crates/proto/src/peer_client.rs
+++ b/crates/proto/src/peer_client.rs
@@ -11,8 +11,8 @@
 use tonic_prost::ProstCodec;
 
 use crate::{
-    CallReply, CallRequest, FateRequest, FleetKey, MAX_MESSAGE_BYTES, ProtoError,
-    peer_server::TOKEN_HEADER,
+    CallReply, CallRequest, FateRequest, FleetKey, MAX_MESSAGE_BYTES, ProtoError, TransferReply,
+    TransferRequest, peer_server::TOKEN_HEADER,
 };
 
 /// How often an idle connection is asked for a sign of life.
@@ -71,6 +71,20 @@
         self.unary("/medlarspool.Peer/Fate", request, timeout).await
     }
 
+    /// Asks the peer for updates or whole lists.
+    ///
+    /// # Errors
+    ///
+    /// Returns tonic's status if no reply came.
+    pub async fn transfer(
+        &self,
+        request: TransferRequest,
+        timeout: Duration,
+    ) -> Result<TransferReply, Status> {
+        self.unary("/medlarspool.Peer/Transfer", request, timeout)
+            .await
+    }
+
     async fn unary<In, Out>(
         &self,
         path: &'static str,
--- a/crates/proto/src/peer_handler.rs
+++ b/crates/proto/src/peer_handler.rs
@@ -1,12 +1,15 @@
 use std::future::Future;
 
-use crate::{CallReply, CallRequest, FateRequest};
+use crate::{CallReply, CallRequest, FateRequest, TransferReply, TransferRequest};
 
 /// What a daemon does for its peers; implemented at the daemon's edge.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Runs a request at the local upstream, or refuses it.
     fn call(&self, request: CallRequest) -> impl Future<Output = CallReply> + Send;
 
+    /// Gives updates or whole lists to a peer that is behind, or puts it off.
+    fn transfer(&self, request: TransferRequest) -> impl Future<Output = TransferReply> + Send;
+
     /// Says what became of an earlier try.
     fn fate(&self, request: FateRequest) -> impl Future<Output = CallReply> + Send;
 }
--- a/crates/proto/src/peer_server.rs
+++ b/crates/proto/src/peer_server.rs
@@ -71,6 +71,10 @@
                 let handler = Arc::clone(&handler);
                 async move { handler.fate(message).await }
             }),
+            "/medlarspool.Peer/Transfer" => unary(request, move |message| {
+                let handler = Arc::clone(&handler);
+                async move { handler.transfer(message).await }
+            }),
             _ => Box::pin(async { Ok(Status::unimplemented("no such method").into_http()) }),
         }
     }
--- a/crates/spread/src/spread_counters.rs
+++ b/crates/spread/src/spread_counters.rs
@@ -1,7 +1,9 @@
+use serde::Serialize;
+
 use crate::Refusal;
 
 /// What the core has counted since it began; each only grows.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct SpreadCounters {
     /// Versions taken into use.
     pub applied: u64,
--- a/crates/spread/src/store_poll.rs
+++ b/crates/spread/src/store_poll.rs
@@ -76,7 +76,7 @@
     pub(crate) fn interval(settings: &SpreadSettings, peers: usize) -> Duration {
         match settings.mode {
             SpreadMode::Poll => settings.poll_interval,
-            SpreadMode::SharedBudget if peers == 0 => settings.join_spread,
+            SpreadMode::SharedBudget if peers == 0 => settings.join_spread / 2,
             SpreadMode::SharedBudget => {
                 let daemons = u32::try_from(peers).unwrap_or(u32::MAX).saturating_add(1);
                 let share = Duration::from_secs(1) * daemons / settings.store_reads_per_second;
