Prove with real processes that changes arrive through kills and outages

Cause: the daemon's wiring had no end-to-end test of its own. Change: six daemons in three zones: kills and restarts during changes, the store down from just after one daemon noticed, a new process confirmed by its peers, lost answers and lost writes. Each look asserts that no life goes back. Seen failing first: with the store down before the daemons knew each other a change stays with the one that noticed, so the fleet waits until all know all.

--- /dev/null
+++ b/crates/bench/tests/spread_processes.rs
@@ -0,0 +1,180 @@
+//! Accepted changes reach real daemon processes through kills, outages and lost answers.
+
+use std::time::Duration;
+
+use medlarspool_bench::{
+    CallerReply, OPERATOR_TOKEN, ProcessFleet, UpstreamBehaviour, program_paths,
+};
+use medlarspool_platform::FakeFaults;
+use rstest::rstest;
+
+const CREDENTIAL: &str = "observer-credential";
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const USES: [&str; 2] = ["sky-map", "sightings"];
+/// How often a wait looks, and so the most looks before it gives up.
+const LOOKS: usize = 300;
+
+struct SpreadFleet {
+    fleet: ProcessFleet,
+    seen: Vec<(u64, u64)>,
+}
+
+impl SpreadFleet {
+    /// Starts two daemons in each of three zones and puts the first lists.
+    fn start() -> Self {
+        let mut fleet = ProcessFleet::start(program_paths!()).expect("the platform starts");
+        for zone in ZONES.iter().chain(&ZONES) {
+            fleet
+                .add(zone, "sky-map", UpstreamBehaviour::Plain, Duration::ZERO)
+                .expect("a daemon starts");
+        }
+        let seen = vec![(0, 0); fleet.daemons.len()];
+        let mut fleet = Self { fleet, seen };
+        fleet.put(1);
+        fleet.wait_all_hold(1);
+        fleet.wait("every daemon knows every other", |fleet| {
+            (0..fleet.seen.len()).all(|at| fleet.living(at) == Some(6))
+        });
+        fleet
+    }
+
+    /// Returns how many daemons a daemon believes alive.
+    fn living(&self, at: usize) -> Option<u64> {
+        self.ask(at, "members")?["living"].as_u64()
+    }
+
+    /// Accepts the lists of a version, which differ from those before.
+    fn put(&self, version: u64) {
+        let uses = USES[usize::try_from(version % 2).expect("small")];
+        self.fleet
+            .put(version - 1, CREDENTIAL, &[uses])
+            .expect("accepted");
+    }
+
+    fn faults(&self, faults: &FakeFaults) {
+        let address = self.fleet.daemons[0].settings.platform_address;
+        let body = serde_json::to_string(faults).expect("text");
+        ureq::put(format!("http://{address}/admin/faults"))
+            .send(body)
+            .expect("the platform takes its faults");
+    }
+
+    /// Returns the version that a daemon holds; nothing while it doesn't answer.
+    ///
+    /// Asserts that it never goes back within one life.
+    fn held(&mut self, at: usize) -> Option<u64> {
+        let dump = self.dump(at)?;
+        let life = dump["incarnation"].as_u64()?;
+        let version = dump["config"]["version"].as_u64()?;
+        let (last_life, last_version) = self.seen[at];
+        assert!(
+            life != last_life || version >= last_version,
+            "daemon {at} went back from {last_version} to {version}"
+        );
+        self.seen[at] = (life, version);
+        Some(version)
+    }
+
+    fn dump(&self, at: usize) -> Option<serde_json::Value> {
+        self.ask(at, "dump")
+    }
+
+    fn ask(&self, at: usize, page: &str) -> Option<serde_json::Value> {
+        let address = self.fleet.daemons[at].settings.administration_address;
+        let reply = CallerReply::get(&format!("http://{address}/{page}"), OPERATOR_TOKEN).ok()?;
+        serde_json::from_str(&reply.body).ok()
+    }
+
+    fn readiness(&self, at: usize) -> String {
+        let dump = self.dump(at).unwrap_or_default();
+        dump["spread"]["readiness"]
+            .as_str()
+            .unwrap_or_default()
+            .into()
+    }
+
+    fn wait_all_hold(&mut self, version: u64) {
+        let all = 0..self.seen.len();
+        self.wait("every daemon holds the version", |fleet| {
+            all.clone().all(|at| fleet.held(at) == Some(version))
+        });
+    }
+
+    fn wait_any_holds(&mut self, version: u64) {
+        let all = 0..self.seen.len();
+        self.wait("a daemon holds the version", |fleet| {
+            all.clone().any(|at| fleet.held(at) == Some(version))
+        });
+    }
+
+    fn wait(&mut self, what: &str, mut is_so: impl FnMut(&mut Self) -> bool) {
+        for _ in 0..LOOKS {
+            if is_so(self) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let dumps: Vec<_> = (0..self.seen.len()).map(|at| self.dump(at)).collect();
+        panic!("not in time: {what}; {dumps:#?}");
+    }
+
+    fn restart(&mut self, at: usize) {
+        let programs = self.fleet.programs();
+        self.fleet.daemons[at]
+            .restart(&programs)
+            .expect("it starts again");
+    }
+}
+
+#[test]
+fn daemons_killed_during_changes_end_at_the_newest() {
+    let mut fleet = SpreadFleet::start();
+    for version in 2..=9 {
+        let killed = usize::try_from(version).expect("small") % 6;
+        fleet.fleet.daemons[killed].process.kill();
+        fleet.put(version);
+        fleet.restart(killed);
+        for at in 0..6 {
+            fleet.held(at);
+        }
+    }
+    fleet.wait_all_hold(9);
+}
+
+#[test]
+fn a_change_that_one_daemon_noticed_reaches_all_without_the_store() {
+    let mut fleet = SpreadFleet::start();
+    fleet.put(2);
+    fleet.wait_any_holds(2);
+    fleet.faults(&FakeFaults {
+        down: true,
+        ..FakeFaults::default()
+    });
+    fleet.wait_all_hold(2);
+    fleet.restart(4);
+    fleet.wait("a new process is confirmed by its peers", |fleet| {
+        fleet.readiness(4) == "ready, confirmed by peers of two availability zones"
+    });
+    assert_eq!(fleet.held(4), Some(2));
+    fleet.faults(&FakeFaults::default());
+    fleet.put(3);
+    fleet.wait_all_hold(3);
+    fleet.wait("the store confirms it", |fleet| {
+        fleet.readiness(4) == "ready, confirmed by the store"
+    });
+}
+
+#[rstest]
+#[case::answer_lost(FakeFaults { lost_answers: 2, ..FakeFaults::default() })]
+#[case::write_lost(FakeFaults { lost_writes: 1, ..FakeFaults::default() })]
+fn a_write_that_got_no_answer_makes_one_version(#[case] faults: FakeFaults) {
+    let mut fleet = SpreadFleet::start();
+    fleet.faults(&faults);
+    let uses = [USES[0]];
+    if let Err(refused) = fleet.fleet.put(1, CREDENTIAL, &uses) {
+        fleet.faults(&FakeFaults::default());
+        let accepted = fleet.fleet.put(1, CREDENTIAL, &uses);
+        assert!(accepted.is_ok(), "{refused}; then {accepted:?}");
+    }
+    fleet.wait_all_hold(2);
+}
