Let silence count against an upstream at once

Cause: a dead or slow upstream went on to get calls until the first of them timed out, since only ended calls were evidence. Change: an upstream whose calls wait is expected to take at least as long as it has been silent.

--- a/crates/calls/src/upstream.rs
+++ b/crates/calls/src/upstream.rs
@@ -22,6 +22,7 @@
     ejection: Ejection,
     is_local: bool,
     outstanding: u32,
+    quiet_since: Instant,
     report: LoadReport,
     reported: Instant,
     sent_since_report: u32,
@@ -39,6 +40,7 @@
             ejection: Ejection::default(),
             is_local,
             outstanding: 0,
+            quiet_since: now,
             report: LoadReport::default(),
             reported: now,
             sent_since_report: 0,
@@ -86,8 +88,9 @@
 
     /// Returns the time until an answer that a call given now may expect.
     ///
-    /// It is the larger of what the reported load implies and what own calls took, so that neither
-    /// a false report nor a stale one is believed alone. `typical` is the service's mean.
+    /// It is the largest of what the reported load implies, what own calls took, and how long own
+    /// calls have waited for any sign of life, so that neither a false report nor a stale one is
+    /// believed alone. `typical` is the service's mean.
     #[must_use]
     pub fn expected(&self, now: Instant, settings: &CallSettings, typical: Duration) -> Duration {
         let age = now.saturating_duration_since(self.reported).as_secs_f64();
@@ -102,7 +105,8 @@
         };
         let told = run.mul_f64(turns);
         let measured = self.measured(now, settings, typical);
-        told.max(measured).div_f64(self.ramp(now, settings))
+        let expected = told.max(measured).max(self.silence(now));
+        expected.div_f64(self.ramp(now, settings))
     }
 
     /// Returns whether no call has lately shown how fast it is.
@@ -112,7 +116,10 @@
     }
 
     /// Counts a call given to it.
-    pub fn send(&mut self) {
+    pub fn send(&mut self, now: Instant) {
+        if self.outstanding == 0 {
+            self.quiet_since = now;
+        }
         self.outstanding += 1;
         self.sent_since_report += 1;
     }
@@ -127,6 +134,9 @@
         may_eject: bool,
     ) {
         self.outstanding = self.outstanding.saturating_sub(1);
+        if report.is_some() {
+            self.quiet_since = now;
+        }
         if let Some(report) = report {
             self.report = report;
             self.reported = now;
@@ -157,6 +167,14 @@
         self.standing = standing;
     }
 
+    /// The time since the last sign of life, if calls wait for one: the next answer takes no less.
+    fn silence(&self, now: Instant) -> Duration {
+        if self.outstanding == 0 {
+            return Duration::ZERO;
+        }
+        now.saturating_duration_since(self.quiet_since)
+    }
+
     /// The mean of own calls; without new ones it tends to the service's mean, so that an upstream
     /// that was slow once is tried again.
     fn measured(&self, now: Instant, settings: &CallSettings, typical: Duration) -> Duration {
--- a/crates/calls/src/upstream_pool.rs
+++ b/crates/calls/src/upstream_pool.rs
@@ -94,7 +94,7 @@
         let typical = self.call_time.mean();
         let upstream = &mut self.upstreams[place];
         let expected = upstream.expected(now, settings, typical);
-        upstream.send();
+        upstream.send(now);
         Some(Choice {
             address: upstream.announced().address,
             expected,
--- a/crates/calls/tests/choice.rs
+++ b/crates/calls/tests/choice.rs
@@ -142,6 +142,28 @@
     assert_eq!(trials.count(), 1);
 }
 
+/// Seen failing first: calls went on to a silent upstream until the first of them timed out.
+#[test]
+fn an_upstream_that_falls_silent_gets_no_more_after_its_usual_time() {
+    const GAP: Duration = Duration::from_millis(2);
+    const USUAL: Duration = Duration::from_millis(10);
+    let mut entry = Entry::new(4, 0);
+    entry.run(1_000, |_| USUAL);
+    let silent = instance(1);
+    let mut sent = 0;
+    for _ in 0..500 {
+        let chosen = entry.choose(&[]).unwrap();
+        entry.now += GAP;
+        if chosen == silent {
+            sent += 1;
+        } else {
+            let outcome = CallOutcome::Answered { elapsed: USUAL };
+            entry.finish(&chosen, outcome, LoadReport::default());
+        }
+    }
+    assert!(sent <= USUAL.as_millis() / GAP.as_millis(), "{sent}");
+}
+
 #[test]
 fn when_all_fail_half_stay_in_the_choice() {
     let mut entry = Entry::new(6, 3);
