--- a/crates/calls/src/call_settings.rs
+++ b/crates/calls/src/call_settings.rs
@@ -89,7 +89,7 @@
             load_half_life: Duration::from_millis(500),
             open_channels: 16_384,
             queue_requests: 128,
-            ramp: Duration::from_secs(10),
+            ramp: Duration::from_secs(4),
             retry_backoff_longest: Duration::from_millis(250),
             retry_backoff_shortest: Duration::from_millis(5),
             retry_burst: 10,
