Show the whole fleet from any daemon

Cause: an operator had no view of which version each daemon serves by. Change: /status asks each living member for a bare datagram, since the head rides on every one, and tells version, state and upstream of each; the command shows them. Conclusion: a glance costs two small datagrams a member and only when asked.

--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -191,10 +191,20 @@
     ///
     /// Returns why it can't be started.
     pub fn command(&self, arguments: &[&str]) -> Result<Output, String> {
+        let platform = self.platform_address.to_string();
+        let mut arguments = arguments.to_vec();
+        arguments.extend(["--platform", &platform, "--token", PLATFORM_TOKEN]);
+        self.command_alone(&arguments)
+    }
+
+    /// Runs the operators' command with these arguments and no others.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn command_alone(&self, arguments: &[&str]) -> Result<Output, String> {
         Command::new(self.programs.command)
             .args(arguments)
-            .args(["--platform", &self.platform_address.to_string()])
-            .args(["--token", PLATFORM_TOKEN])
             .output()
             .map_err(|error| error.to_string())
     }
--- a/crates/command/src/instance_status.rs
+++ b/crates/command/src/instance_status.rs
@@ -12,6 +12,9 @@
     pub instance: InstanceId,
     /// Whether it lives, as far as membership knows: `alive`, `suspect`, `leaving` or the like.
     pub state: String,
+    /// How the upstream beside it stands: `serving`, `leaving`, `lapsed`, `refusing` or `absent`.
+    #[serde(default)]
+    pub upstream: String,
     /// The version that it holds.
     pub version: ConfigVersion,
 }
--- a/crates/command/src/status.rs
+++ b/crates/command/src/status.rs
@@ -58,7 +58,10 @@
 /// Tells whether two answers differ in more than the time since word came.
 fn differ(one: &FleetStatus, other: &FleetStatus) -> bool {
     let same = |one: &InstanceStatus, other: &InstanceStatus| {
-        one.instance == other.instance && one.version == other.version && one.state == other.state
+        one.instance == other.instance
+            && one.version == other.version
+            && one.state == other.state
+            && one.upstream == other.upstream
     };
     let mut pairs = one.instances.iter().zip(&other.instances);
     one.newest != other.newest
@@ -78,8 +81,8 @@
     }
     writeln!(
         console.output,
-        "{:<24}  {:<16}  {:<10}  {:>8}  {:>6}  {:>12}",
-        "INSTANCE", "ZONE", "STATE", "VERSION", "BEHIND", "HEARD MS AGO"
+        "{:<24}  {:<16}  {:<10}  {:<10}  {:>8}  {:>6}  {:>12}",
+        "INSTANCE", "ZONE", "STATE", "UPSTREAM", "VERSION", "BEHIND", "HEARD MS AGO"
     )?;
     for each in &status.instances {
         tell_instance(console, status.newest, each)?;
@@ -100,10 +103,11 @@
     let behind = newest.0.saturating_sub(each.version.0);
     Ok(writeln!(
         console.output,
-        "{:<24}  {:<16}  {:<10}  {:>8}  {behind:>6}  {:>12}",
+        "{:<24}  {:<16}  {:<10}  {:<10}  {:>8}  {behind:>6}  {:>12}",
         each.instance.as_str(),
         each.availability_zone.as_str(),
         each.state,
+        each.upstream,
         each.version.0,
         each.heard_ms_ago,
     )?)
--- a/crates/daemon/src/administration.rs
+++ b/crates/daemon/src/administration.rs
@@ -9,7 +9,10 @@
 use crate::{control_message::ControlMessage, http_reply::HttpReply, shared::Shared};
 
 /// How long an operator waits for the control thread.
-const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long the members get to answer with their heads.
+const HEADS_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Answers operators and scrapers on an address apart from the callers'.
 pub(crate) struct Administration {
@@ -26,12 +29,13 @@
                 HttpReply::text(401, "the operators' token is missing or wrong\n")
             }
             "/dump" => HttpReply::json(200, &self.dump()),
-            "/members" => self.members(),
+            "/members" => self.ask_control(ControlMessage::DumpMembers),
             "/metrics" => HttpReply {
                 body: self.shared.metrics.text(),
                 headers: Vec::new(),
                 status: 200,
             },
+            "/status" => self.status(),
             _ => HttpReply::text(404, "no such page\n"),
         };
         reply.send(request);
@@ -63,11 +67,14 @@
         })
     }
 
-    fn members(&self) -> HttpReply {
+    fn ask_control(
+        &self,
+        question: impl FnOnce(mpsc::Sender<serde_json::Value>) -> ControlMessage,
+    ) -> HttpReply {
         let (asker, answer) = mpsc::channel();
-        self.shared.tell_control(ControlMessage::DumpMembers(asker));
-        match answer.recv_timeout(DUMP_TIMEOUT) {
-            Ok(members) => HttpReply::json(200, &members),
+        self.shared.tell_control(question(asker));
+        match answer.recv_timeout(ANSWER_TIMEOUT) {
+            Ok(value) => HttpReply::json(200, &value),
             Err(_) => HttpReply::text(503, "the control thread does not answer\n"),
         }
     }
@@ -80,4 +87,11 @@
         let status = if readiness.is_ready() { 200 } else { 503 };
         HttpReply::text(status, &format!("{readiness}\n"))
     }
+
+    /// Asks all members for their heads, waits for most answers and tells what came.
+    fn status(&self) -> HttpReply {
+        self.shared.tell_control(ControlMessage::AskHeads);
+        std::thread::sleep(HEADS_PATIENCE);
+        self.ask_control(ControlMessage::Status)
+    }
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -16,8 +16,8 @@
 
 use crate::{
     DaemonError, control_message::ControlMessage, datagram_socket::DatagramSocket,
-    membership_agent::MembershipAgent, platform_job::PlatformJob, shared::Shared,
-    spread_agent::SpreadAgent,
+    fleet_heads::FleetHeads, membership_agent::MembershipAgent, platform_job::PlatformJob,
+    shared::Shared, spread_agent::SpreadAgent,
 };
 
 /// The time within which changes of membership are gathered.
@@ -28,6 +28,7 @@
 
 /// The actor that alone puts configurations and directories in use.
 pub(crate) struct Control {
+    heads: FleetHeads,
     membership: MembershipAgent,
     membership_timer: MinTimerKey,
     peers_timer: MinTimerKey,
@@ -65,6 +66,7 @@
         call!([cx], wake_membership());
         call!([cx], wake_spread());
         Some(Self {
+            heads: FleetHeads::new(Arc::clone(&shared), Arc::clone(&socket)),
             membership: MembershipAgent::new(
                 Arc::clone(&shared),
                 Arc::clone(&socket),
@@ -80,15 +82,12 @@
 
     fn handle(&mut self, cx: CX![], message: ControlMessage) {
         match message {
+            ControlMessage::AskHeads => self.heads.ask(self.membership.members()),
             ControlMessage::ConnectionRefused(instance) => self
                 .membership
                 .event(MembershipEvent::ConnectionRefused { instance }),
             ControlMessage::Datagram { address, sealed } => self.receive(address, &sealed),
-            ControlMessage::DumpMembers(asker) => {
-                if asker.send(self.membership.dump()).is_err() {
-                    log::debug!("nobody waits for the dump any more");
-                }
-            }
+            ControlMessage::DumpMembers(asker) => answer(&asker, self.membership.dump()),
             ControlMessage::Interest(service) => self.membership.take_interest(&service),
             ControlMessage::Leave => self.membership.event(MembershipEvent::Leave),
             ControlMessage::SeedRows {
@@ -96,6 +95,9 @@
                 rows,
             } => self.membership.seed_rows_read(availability_zone, rows),
             ControlMessage::Spread(event) => self.spread.event(event),
+            ControlMessage::Status(asker) => {
+                answer(&asker, self.heads.status(self.membership.members()));
+            }
             ControlMessage::Stop => {
                 self.membership.event(MembershipEvent::Stop);
                 cx.stop();
@@ -131,6 +133,7 @@
             self.shared.metrics.datagrams_refused.inc();
             return;
         };
+        self.heads.note(address, &sender, &datagram);
         let payload = datagram.spread.take();
         self.spread
             .receive(address, sender, datagram.head(), payload);
@@ -173,6 +176,12 @@
     }
 }
 
+fn answer(asker: &Sender<serde_json::Value>, value: serde_json::Value) {
+    if asker.send(value).is_err() {
+        log::debug!("nobody waits for the answer any more");
+    }
+}
+
 fn serve(
     shared: &Arc<Shared>,
     socket: Arc<DatagramSocket>,
--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -10,6 +10,8 @@
 
 /// What the edges tell the control thread.
 pub(crate) enum ControlMessage {
+    /// Someone is about to ask for the fleet's status, so the members are asked for their heads.
+    AskHeads,
     /// A connection to a peer's gate was refused.
     ConnectionRefused(InstanceId),
     /// A datagram of a peer came, still sealed.
@@ -34,6 +36,8 @@
     },
     /// Something happened to the spreading of changes.
     Spread(SpreadEvent),
+    /// Someone asks for what is known of the whole fleet.
+    Status(Sender<serde_json::Value>),
     /// The daemon is stopping.
     Stop,
     /// A peer asks for lists.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod datagram_socket;
 mod directory;
 mod entry;
+mod fleet_heads;
 mod gate;
 mod http_reply;
 mod local_upstream;
--- a/crates/daemon/src/membership_agent.rs
+++ b/crates/daemon/src/membership_agent.rs
@@ -5,8 +5,8 @@
 };
 
 use medlarspool_membership::{
-    Member, MemberState, Membership, MembershipAction, MembershipEvent, MembershipSettings,
-    Message, SeedRow, UpstreamAnnouncement, UpstreamState, UpstreamView,
+    Member, MemberState, MemberView, Membership, MembershipAction, MembershipEvent,
+    MembershipSettings, Message, SeedRow, UpstreamAnnouncement, UpstreamState, UpstreamView,
 };
 use medlarspool_proto::{Datagram, MembershipPayload};
 use medlarspool_spread::SpreadPeer;
@@ -148,6 +148,11 @@
             .collect()
     }
 
+    /// Returns the members that are known, this daemon among them.
+    pub(crate) fn members(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.core.members()
+    }
+
     pub(crate) fn next_wakeup(&self) -> Instant {
         self.core.next_wakeup()
     }
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -24,6 +24,9 @@
     /// What it says about members.
     #[prost(message, optional, tag = "5")]
     pub membership: Option<MembershipPayload>,
+    /// Whether the sender wants a bare datagram back, for the head on it.
+    #[prost(bool, tag = "6")]
+    pub head_wanted: bool,
 }
 
 impl Datagram {
@@ -41,6 +44,7 @@
             head: (head != ConfigHead::default()).then(|| head.into()),
             spread: None,
             membership: None,
+            head_wanted: false,
         }
     }
 
