--- a/crates/calls/tests/gate.rs
+++ b/crates/calls/tests/gate.rs
@@ -6,7 +6,7 @@
 };
 
 use medlarspool_calls::{
-    CallSettings, ChannelId, Gate, GateAction, GateWork, RefusalReason, RunEnd,
+    CallSettings, ChannelId, FairQueue, Gate, GateAction, GateWork, RefusalReason, RunEnd,
 };
 use medlarspool_types::{CallId, Incarnation};
 use proptest::prelude::*;
@@ -202,6 +202,27 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(128))]
 
+    /// While both wait, no customer gets ahead of its share by more than one request each.
+    #[test]
+    fn shares_are_kept_at_every_moment(weights in (1_u32..9, 1_u32..9), served in 1_usize..200) {
+        let mut queue = FairQueue::default();
+        let now = Instant::now();
+        for call in 0..400 {
+            let is_first = call % 2 == 0;
+            queue.push(GateWork {
+                call: CallId(call),
+                customer: if is_first { "a" } else { "b" }.parse().unwrap(),
+                deadline: now,
+                weight: if is_first { weights.0 } else { weights.1 },
+            });
+        }
+        let order: Vec<u128> = (0..served).map_while(|_| queue.pop()).map(|w| w.call.0).collect();
+        let first = u32::try_from(order.iter().filter(|call| *call % 2 == 0).count()).unwrap();
+        let second = u32::try_from(order.len()).unwrap() - first;
+        let ahead = (first * weights.1).abs_diff(second * weights.0);
+        prop_assert!(ahead <= weights.0 + weights.1, "{first} and {second}");
+    }
+
     /// Each call ends exactly once, refused ones never start, and no bound is passed.
     #[test]
     fn each_call_starts_or_is_refused_once(steps in steps()) {
--- a/crates/calls/tests/quarantine.rs
+++ b/crates/calls/tests/quarantine.rs
@@ -129,6 +129,22 @@
     assert_eq!(alone.count(), 1);
 }
 
+#[test]
+fn a_notice_that_arrives_twice_counts_once() {
+    let mut fleet = Fleet::new(2);
+    let crash = CrashId {
+        instance: instance(0),
+        number: 7,
+    };
+    let notice = QuarantineNotice::Crashed {
+        crash,
+        fingerprints: vec![CULPRIT],
+    };
+    fleet.tell(&notice);
+    fleet.tell(&notice);
+    assert_eq!(fleet.check(0, CULPRIT), QuarantineCheck::AdmitAlone);
+}
+
 #[test]
 fn evidence_ends_and_is_bounded() {
     let settings = CallSettings::default();
