--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -71,25 +71,38 @@
         service: &str,
         behaviour: UpstreamBehaviour,
         service_time: Duration,
+    ) -> Result<usize, String> {
+        let upstream = UpstreamSettings {
+            address: self.platform_address,
+            announcements_address: self.platform_address,
+            behaviour,
+            ledger: Some(self.ledger_path()),
+            name: format!("instance-{}", self.daemons.len()),
+            service: service.into(),
+            service_time,
+            slots: 6,
+        };
+        self.add_with(availability_zone, Some(upstream))
+    }
+
+    /// Adds a daemon in a zone, with this upstream or with none, and returns its position.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn add_with(
+        &mut self,
+        availability_zone: &str,
+        upstream: Option<UpstreamSettings>,
     ) -> Result<usize, String> {
         let number = self.daemons.len();
-        let name = format!("instance-{number}");
         let spec = DaemonSpec {
             availability_zone: availability_zone.into(),
             extra_settings: "spread:\n  join_spread_ms: 200\n".into(),
-            instance: name.clone(),
+            instance: format!("instance-{number}"),
             platform_address: self.platform_address,
             region: "region-1".into(),
-            upstream: Some(UpstreamSettings {
-                address: self.platform_address,
-                announcements_address: self.platform_address,
-                behaviour,
-                ledger: Some(self.ledger_path()),
-                name,
-                service: service.into(),
-                service_time,
-                slots: 6,
-            }),
+            upstream,
         };
         self.add_spec(&spec)
     }
@@ -104,6 +117,43 @@
         CallerReply::get(&format!("http://{address}{path}"), credential)
     }
 
+    /// Sends one caller's POST request with headers to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub fn post(
+        &self,
+        daemon: usize,
+        path: &str,
+        credential: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerReply, String> {
+        let address = self.daemons[daemon].settings.callers_address;
+        let url = format!("http://{address}{path}");
+        CallerReply::post(&url, credential, headers, "a body")
+    }
+
+    /// Returns how often the upstreams ran the request of an `x-request-id`.
+    ///
+    /// # Panics
+    ///
+    /// If an upstream does not tell, since a missing count would pass for no run.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> u32 {
+        let upstreams = self.daemons.iter().filter_map(|daemon| {
+            daemon.upstream.as_ref()?;
+            daemon.upstream_settings.as_ref()
+        });
+        upstreams
+            .map(|upstream| {
+                let url = format!("http://{}/runs/{id}", upstream.address);
+                let reply = CallerReply::get(&url, "").expect("the upstream tells its runs");
+                reply.body.parse::<u32>().expect("a number of runs")
+            })
+            .sum()
+    }
+
     /// Calls until the status is as expected, and returns the reply.
     ///
     /// # Errors
--- a/crates/bench/src/stand_in_upstream.rs
+++ b/crates/bench/src/stand_in_upstream.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use medlarspool_daemon::AcceptNudge;
 use tiny_http::{Request, Response, Server};
 
 use crate::{RunLedger, UpstreamBehaviour, UpstreamSettings};
@@ -22,6 +23,7 @@
 ///
 /// A request is known by its `x-request-id` header; `/runs/ID` answers how often it ran.
 pub struct StandInUpstream {
+    _nudge: AcceptNudge,
     state: Arc<State>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -45,6 +47,7 @@
     /// Returns why the address can't be listened on or a thread can't be started.
     pub fn start(settings: UpstreamSettings) -> Result<Self, String> {
         let server = Server::http(settings.address).map_err(|error| error.to_string())?;
+        let nudge = AcceptNudge::start(settings.address).map_err(|error| error.to_string())?;
         let workers = settings.slots * 2;
         let server = Arc::new(server);
         let state = Arc::new(State::new(settings)?);
@@ -55,7 +58,11 @@
         }
         let announcer = Arc::clone(&state);
         threads.push(spawn(move || announcer.keep_announced())?);
-        Ok(Self { state, threads })
+        Ok(Self {
+            _nudge: nudge,
+            state,
+            threads,
+        })
     }
 
     /// Returns how often each request ran.
@@ -101,7 +108,8 @@
         })
     }
 
-    fn announce(&self) {
+    /// Announces once; returns whether that was taken.
+    fn announce(&self) -> bool {
         let settings = &self.settings;
         let announcement = serde_json::json!({
             "address": settings.address,
@@ -118,13 +126,19 @@
             .send(announcement.to_string());
         if let Err(error) = sent {
             log::debug!(error = error.to_string().as_str(); "the announcement was not taken");
+            return false;
         }
+        true
     }
 
     fn keep_announced(&self) {
         while !self.stopping.load(Ordering::Acquire) {
-            self.announce();
-            let renewal = Instant::now() + RENEWAL_INTERVAL;
+            let interval = if self.announce() {
+                RENEWAL_INTERVAL
+            } else {
+                STOP_CHECK_INTERVAL
+            };
+            let renewal = Instant::now() + interval;
             while Instant::now() < renewal && !self.stopping.load(Ordering::Acquire) {
                 std::thread::sleep(STOP_CHECK_INTERVAL);
             }
--- /dev/null
+++ b/crates/bench/tests/calls_faults.rs
@@ -0,0 +1,313 @@
+//! What callers get when gates, upstreams and connections fail, with separate processes.
+
+use std::{
+    collections::BTreeSet,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use medlarspool_bench::{CallerReply, ProcessFleet, UpstreamBehaviour, program_paths};
+use rstest::rstest;
+
+const CREDENTIAL: &str = "observer-credential";
+
+/// A fleet whose first daemon has no upstream, and whose others serve `alerts`.
+fn fleet(gates: usize, service_time: Duration) -> ProcessFleet {
+    let mut fleet = ProcessFleet::start(program_paths!()).expect("the platform starts");
+    fleet.add_with("zone-a", None).expect("a daemon starts");
+    for _ in 0..gates {
+        fleet
+            .add("zone-a", "alerts", UpstreamBehaviour::Plain, service_time)
+            .expect("a daemon starts");
+    }
+    fleet.put(0, CREDENTIAL, &["alerts"]).expect("accepted");
+    fleet
+}
+
+/// Returns once each daemon has answered by each upstream.
+fn ready(fleet: &ProcessFleet) {
+    for daemon in 0..fleet.daemons.len() {
+        let mut missing: BTreeSet<String> = fleet
+            .daemons
+            .iter()
+            .filter_map(|daemon| Some(daemon.upstream_settings.as_ref()?.name.clone()))
+            .collect();
+        for _ in 0..500 {
+            let reply = fleet
+                .call_until(daemon, "/alerts/ready", CREDENTIAL, 200)
+                .expect("the fleet serves");
+            let name = reply.body.split(' ').next().expect("the upstream's name");
+            missing.remove(name);
+            if missing.is_empty() {
+                break;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        assert!(missing.is_empty(), "{missing:?} never answered");
+    }
+}
+
+fn send(fleet: &ProcessFleet, id: &str) -> Result<CallerReply, String> {
+    fleet.post(0, "/alerts/send", CREDENTIAL, &[("x-request-id", id)])
+}
+
+fn wait_for_run(fleet: &ProcessFleet, id: &str) {
+    for _ in 0..400 {
+        if fleet.runs(id) > 0 {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the request never ran");
+}
+
+fn status_and_verdict(reply: &CallerReply) -> (u16, &str) {
+    (reply.status, reply.verdict.as_str())
+}
+
+/// Sends a request, does something to its gate while it runs, and returns the caller's reply.
+fn interrupted(
+    fleet: &mut ProcessFleet,
+    id: &str,
+    interrupt: impl FnOnce(&mut ProcessFleet),
+) -> CallerReply {
+    let address = fleet.daemons[0].settings.callers_address;
+    let url = format!("http://{address}/alerts/send");
+    let header = id.to_owned();
+    let caller = thread::spawn(move || {
+        CallerReply::post(&url, CREDENTIAL, &[("x-request-id", &header)], "a body")
+    });
+    wait_for_run(fleet, id);
+    interrupt(fleet);
+    caller.join().expect("the caller ends").expect("an answer")
+}
+
+#[test]
+fn a_gate_that_dies_in_a_run_leaves_one_run_and_an_honest_verdict() {
+    let mut fleet = fleet(1, Duration::from_millis(1_500));
+    ready(&fleet);
+    let reply = interrupted(&mut fleet, "killed", |fleet| {
+        fleet.daemons[1].process.kill();
+    });
+    assert_eq!(status_and_verdict(&reply), (502, "may-have-run"));
+    assert_eq!(fleet.runs("killed"), 1);
+}
+
+#[test]
+fn a_gate_that_restarts_in_a_run_does_not_claim_that_nothing_ran() {
+    let mut fleet = fleet(1, Duration::from_millis(1_500));
+    ready(&fleet);
+    let programs = fleet.programs();
+    let reply = interrupted(&mut fleet, "restarted", |fleet| {
+        fleet.daemons[1].restart(&programs).expect("it starts");
+    });
+    assert_eq!(status_and_verdict(&reply), (502, "may-have-run"));
+    assert_eq!(fleet.runs("restarted"), 1);
+}
+
+#[test]
+fn the_answer_of_a_gate_that_was_paused_arrives_after_all() {
+    let mut fleet = fleet(1, Duration::from_millis(300));
+    ready(&fleet);
+    let reply = interrupted(&mut fleet, "paused", |fleet| {
+        fleet.daemons[1].process.signal("STOP").expect("stopped");
+        thread::sleep(Duration::from_millis(3_500));
+        fleet.daemons[1].process.signal("CONT").expect("continued");
+    });
+    assert_eq!(status_and_verdict(&reply), (200, "ran"));
+    assert_eq!(fleet.runs("paused"), 1);
+}
+
+#[test]
+fn an_idempotent_request_is_answered_past_a_silent_gate() {
+    let fleet = fleet(2, Duration::ZERO);
+    ready(&fleet);
+    fleet.daemons[1].process.signal("STOP").expect("stopped");
+    for _ in 0..4 {
+        let reply = fleet.call(0, "/alerts/list", CREDENTIAL).expect("answer");
+        assert_eq!(status_and_verdict(&reply), (200, "ran"));
+    }
+    fleet.daemons[1].process.signal("CONT").expect("continued");
+}
+
+#[test]
+fn a_burst_beyond_the_slots_waits_and_is_answered() {
+    let fleet = Arc::new(fleet(1, Duration::from_millis(100)));
+    ready(&fleet);
+    let callers: Vec<_> = (0..30)
+        .map(|number| {
+            let fleet = Arc::clone(&fleet);
+            thread::spawn(move || send(&fleet, &format!("burst-{number}")).expect("answer"))
+        })
+        .collect();
+    for caller in callers {
+        let reply = caller.join().expect("the caller ends");
+        assert_eq!(status_and_verdict(&reply), (200, "ran"));
+    }
+    for number in 0..30 {
+        assert_eq!(fleet.runs(&format!("burst-{number}")), 1);
+    }
+}
+
+#[test]
+fn a_planned_stop_under_load_cuts_off_nothing() {
+    let mut fleet = fleet(3, Duration::from_millis(50));
+    ready(&fleet);
+    let addresses: Vec<SocketAddr> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.settings.callers_address)
+        .collect();
+    let callers: Vec<_> = (0..8)
+        .map(|caller| {
+            let url = format!("http://{}/alerts", addresses[caller % 2]);
+            thread::spawn(move || {
+                (0..40)
+                    .map(|number| {
+                        let id = format!("stop-{caller}-{number}");
+                        let headers = [("x-request-id", id.as_str())];
+                        let url = format!("{url}/{id}");
+                        let reply = CallerReply::post(&url, CREDENTIAL, &headers, "a body");
+                        (id, reply)
+                    })
+                    .collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    let code = fleet.daemons[3].stop(Duration::from_secs(20));
+    assert_eq!(code, Ok(Some(0)));
+    for caller in callers {
+        for (id, reply) in caller.join().expect("the caller ends") {
+            let reply = reply.expect("a whole answer");
+            assert_eq!(status_and_verdict(&reply), (200, "ran"), "{}", reply.body);
+            let own = format!(" /{id} a body\n");
+            assert!(reply.body.ends_with(&own), "{id}: {}", reply.body);
+            assert_eq!(fleet.runs(&id), 1, "{id}: {}", reply.body);
+        }
+    }
+}
+
+/// An upstream that reads a request and answers each with the given bytes, then closes.
+struct RawUpstream {
+    address: SocketAddr,
+    requests: Arc<AtomicU32>,
+}
+
+impl RawUpstream {
+    fn start(answers: &'static [&'static str]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let requests = Arc::new(AtomicU32::new(0));
+        let counted = Arc::clone(&requests);
+        thread::spawn(move || {
+            for connection in listener.incoming() {
+                let mut connection = connection.expect("a connection");
+                for answer in answers {
+                    if !read_request(&mut connection) {
+                        break;
+                    }
+                    counted.fetch_add(1, Ordering::AcqRel);
+                    connection.write_all(answer.as_bytes()).expect("written");
+                }
+            }
+        });
+        Self { address, requests }
+    }
+}
+
+/// Reads up to the end of the body that all requests have; returns false at the connection's end.
+fn read_request(connection: &mut TcpStream) -> bool {
+    let mut request = Vec::new();
+    let mut buffer = [0; 4_096];
+    while !request.ends_with(b"a body") {
+        let read = connection.read(&mut buffer).unwrap_or(0);
+        if read == 0 {
+            return false;
+        }
+        request.extend_from_slice(&buffer[..read]);
+    }
+    true
+}
+
+fn announce(fleet: &ProcessFleet, daemon: usize, address: SocketAddr) {
+    let url = format!(
+        "http://{}/v1/upstream",
+        fleet.daemons[daemon].settings.announcements_address
+    );
+    let text = format!(r#"{{"address": "{address}", "service": "alerts", "slots": 6}}"#);
+    for _ in 0..100 {
+        if ureq::put(&url).send(&text).is_ok() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the announcement was never taken");
+}
+
+/// Sends until the fleet knows the upstream, and returns the first reply about it.
+fn first_reply(fleet: &ProcessFleet, upstream: &RawUpstream, gate: usize) -> CallerReply {
+    for _ in 0..100 {
+        announce(fleet, gate, upstream.address);
+        let reply = send(fleet, "raw").expect("an answer");
+        let unknown = reply.status == 401 || reply.body.contains("No upstream");
+        if !unknown && !reply.body.contains("no configuration") {
+            return reply;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the upstream never became known");
+}
+
+#[rstest]
+#[case::content_length("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")]
+#[case::chunked("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")]
+#[case::chunk_cut("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf")]
+#[case::end_unknown("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")]
+#[case::head_cut("HTTP/1.1 200 OK\r\nContent-Le")]
+#[case::nothing("")]
+fn a_truncated_answer_is_never_passed_on(#[case] answer: &'static str) {
+    let mut fleet = fleet(0, Duration::ZERO);
+    let gate = fleet.add_with("zone-a", None).expect("a daemon starts");
+    let upstream = RawUpstream::start(Box::leak(Box::new([answer])));
+    let reply = first_reply(&fleet, &upstream, gate);
+    assert_eq!(status_and_verdict(&reply), (502, "may-have-run"));
+    assert!(!reply.body.contains("half"));
+    assert_eq!(upstream.requests.load(Ordering::Acquire), 1);
+}
+
+#[test]
+fn a_connection_that_ends_under_a_second_request_is_not_sent_again() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    let mut fleet = fleet(0, Duration::ZERO);
+    let gate = fleet.add_with("zone-a", None).expect("a daemon starts");
+    let upstream = RawUpstream::start(&[WHOLE, ""]);
+    let first = first_reply(&fleet, &upstream, gate);
+    assert_eq!(status_and_verdict(&first), (200, "ran"));
+    assert_eq!(first.body, "whole");
+    let second = send(&fleet, "second").expect("an answer");
+    assert_eq!(status_and_verdict(&second), (502, "may-have-run"));
+    assert_eq!(upstream.requests.load(Ordering::Acquire), 2);
+}
+
+#[test]
+fn an_upstream_that_refuses_connections_ran_nothing() {
+    let mut fleet = fleet(0, Duration::ZERO);
+    let gate = fleet.add_with("zone-a", None).expect("a daemon starts");
+    let nobody = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = nobody.local_addr().expect("an address");
+    drop(nobody);
+    announce(&fleet, gate, address);
+    let known = fleet.call_until(gate, "/alerts/list", CREDENTIAL, 503);
+    assert_eq!(known.expect("a refusal").verdict, "not-run");
+    for _ in 0..3 {
+        let reply = send(&fleet, "refused").expect("an answer");
+        assert_eq!(status_and_verdict(&reply), (503, "not-run"));
+    }
+}
--- a/crates/daemon/src/bounded_server.rs
+++ b/crates/daemon/src/bounded_server.rs
@@ -11,13 +11,17 @@
 
 use tiny_http::{Request, Server};
 
-use crate::DaemonError;
+use crate::{AcceptNudge, DaemonError};
+
+/// The most requests that a worker of a stopping server still takes.
+const MAX_QUEUED: usize = 1_024;
 
 /// How often a worker looks whether the server is stopping.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// An HTTP server with a fixed number of workers; dropping it finishes what they hold.
 pub(crate) struct BoundedServer {
+    _nudge: AcceptNudge,
     server: Arc<Server>,
     stopping: Arc<AtomicBool>,
     workers: Vec<JoinHandle<()>>,
@@ -35,7 +39,10 @@
             cause: error.to_string(),
             purpose,
         })?;
+        let nudge =
+            AcceptNudge::start(address).map_err(|error| DaemonError::Thread(error.to_string()))?;
         let mut bounded = Self {
+            _nudge: nudge,
             server: Arc::new(server),
             stopping: Arc::default(),
             workers: Vec::with_capacity(workers),
@@ -62,6 +69,12 @@
                         serve_one(&handle, request);
                     }
                 }
+                for _ in 0..MAX_QUEUED {
+                    let Ok(Some(request)) = server.try_recv() else {
+                        return;
+                    };
+                    serve_one(&handle, request);
+                }
             })
             .map_err(|error| DaemonError::Thread(error.to_string()))
     }
--- /dev/null
+++ b/crates/daemon/src/caller_reply.rs
@@ -0,0 +1,37 @@
+//! What a caller is told, by the verdict on its request.
+
+use medlarspool_proto::{CallReply, Refusal};
+use medlarspool_types::Verdict;
+
+use crate::http_reply::HttpReply;
+
+/// Returns the HTTP answer to a caller; `docs/operating/calls.md` lists them all.
+pub(crate) fn caller_reply(reply: CallReply) -> HttpReply {
+    let verdict = reply.typed_verdict();
+    let answer = match verdict {
+        Verdict::MayHaveRun => HttpReply::text(502, "the request may have run\n"),
+        Verdict::NotRun => not_run(&reply),
+        Verdict::Ran if reply.status == 0 => {
+            HttpReply::text(502, "the request ran, but its answer is no longer kept\n")
+        }
+        Verdict::Ran => HttpReply {
+            body: reply.body,
+            headers: reply.headers,
+            status: u16::try_from(reply.status).unwrap_or(502),
+        },
+    };
+    answer.with_verdict(verdict)
+}
+
+fn not_run(reply: &CallReply) -> HttpReply {
+    let refusal = reply.refusal();
+    let text = format!("the request did not run. {refusal}\n");
+    match refusal {
+        Refusal::KeyConflict => HttpReply::text(409, &text),
+        Refusal::KeyExpired => HttpReply::text(400, &text),
+        Refusal::NotAllowed => {
+            HttpReply::text(403, "the customer's plan does not allow this service\n")
+        }
+        _ => HttpReply::text(503, &text).with_retry_after(reply.retry_after_ms),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/choices.rs
@@ -0,0 +1,198 @@
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use medlarspool_calls::{
+    AnnouncedUpstream, CallSettings, Choice, Decision, DecisionLog, DecisionReason, FailedTry,
+    LoadReport, RetryBudget, RetryDecision, RetryPolicy, UpstreamStanding, UpstreamTable,
+};
+use medlarspool_proto::Refusal;
+use medlarspool_types::{CallId, InstanceId, ServiceName};
+
+use crate::{
+    control_message::ControlMessage, directory::Directory, hop_end::HopEnd, shared::Shared,
+};
+
+/// The entry's decisions behind one lock: which upstream, and whether once more.
+pub(crate) struct Choices {
+    settings: CallSettings,
+    shared: Arc<Shared>,
+    state: Mutex<State>,
+}
+
+struct State {
+    log: DecisionLog,
+    policy: RetryPolicy,
+    random: fastrand::Rng,
+    services: HashMap<ServiceName, Service>,
+    table: UpstreamTable,
+}
+
+struct Service {
+    budget: RetryBudget,
+    directory: Option<Arc<Directory>>,
+}
+
+impl Choices {
+    pub(crate) fn new(shared: Arc<Shared>, settings: &CallSettings) -> Self {
+        let zone = shared.settings.availability_zone.clone();
+        let state = State {
+            log: DecisionLog::new(settings),
+            policy: RetryPolicy::new(settings),
+            random: fastrand::Rng::with_seed(shared.incarnation.0),
+            services: HashMap::new(),
+            table: UpstreamTable::new(settings, zone),
+        };
+        Self {
+            settings: settings.clone(),
+            shared,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Chooses an upstream, one that was tried only if there is no other, and draws the try's id.
+    pub(crate) fn choose(
+        &self,
+        service: &ServiceName,
+        tried: &[InstanceId],
+    ) -> Option<(CallId, Choice)> {
+        let now = self.shared.clock.now();
+        let directory = self.shared.directory.load_full();
+        if directory.of(service).is_empty() {
+            let interest = ControlMessage::Interest(service.clone());
+            self.shared.tell_control(interest);
+        }
+        let mut state = self.lock();
+        let state = &mut *state;
+        state.follow(now, service, &self.settings, &directory);
+        let table = &mut state.table;
+        let chosen = table.choose(now, &mut state.random, service, tried);
+        let choice = chosen.or_else(|| table.choose(now, &mut state.random, service, &[]))?;
+        let call = CallId::draw(&mut state.random);
+        state.log.record(Decision {
+            at: now,
+            call,
+            expected: choice.expected,
+            reason: choice.reason,
+            service: service.clone(),
+            upstream: Some(choice.instance.clone()),
+        });
+        Some((call, choice))
+    }
+
+    /// Takes in how a try ended.
+    pub(crate) fn finish(&self, service: &ServiceName, instance: &InstanceId, end: &HopEnd) {
+        let now = self.shared.clock.now();
+        let load = end.reply.load.map(|load| LoadReport {
+            queued: load.queued,
+            run_time: Duration::from_micros(load.service_time_us),
+            slots: load.slots,
+            slots_in_use: load.slots_in_use,
+        });
+        let mut state = self.lock();
+        let table = &mut state.table;
+        table.finish(now, service, instance, end.outcome, load);
+        if end.reply.refusal() == Refusal::Draining {
+            table.set_standing(service, instance, UpstreamStanding::Leaving);
+        }
+    }
+
+    /// Pays a request's share into the retry budget and returns what is left for the hops below.
+    pub(crate) fn pay_in(&self, service: &ServiceName, share_per_mille: u32) -> u32 {
+        let mut state = self.lock();
+        let service = state.service(service, &self.settings);
+        service.budget.pay_in(share_per_mille)
+    }
+
+    /// Decides whether a failed request is tried again.
+    pub(crate) fn decide(
+        &self,
+        service: &ServiceName,
+        call: CallId,
+        failed: &FailedTry,
+    ) -> RetryDecision {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let entry = state.services.entry(service.clone());
+        let service_state = entry.or_insert_with(|| Service::new(&self.settings));
+        let budget = &mut service_state.budget;
+        let decision = state.policy.decide(now, failed, budget, &mut state.random);
+        if let RetryDecision::GiveUp { reason, .. } = decision {
+            state.log.record(Decision {
+                at: now,
+                call,
+                expected: Duration::ZERO,
+                reason: DecisionReason::GivenUp(reason),
+                service: service.clone(),
+                upstream: None,
+            });
+        }
+        decision
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Takes over what membership says of a service since the last call to it.
+    fn follow(
+        &mut self,
+        now: Instant,
+        name: &ServiceName,
+        settings: &CallSettings,
+        directory: &Arc<Directory>,
+    ) {
+        let service = self.service(name, settings);
+        let is_same = |known: &Arc<Directory>| Arc::ptr_eq(known, directory);
+        if service.directory.as_ref().is_some_and(is_same) {
+            return;
+        }
+        service.directory = Some(Arc::clone(directory));
+        let records = directory.of(name);
+        let known: HashSet<&InstanceId> = records.iter().map(|record| &record.instance).collect();
+        let pool = self.table.pool(name);
+        let upstreams = pool.map_or(&[][..], |pool| pool.upstreams());
+        let gone: Vec<InstanceId> = upstreams
+            .iter()
+            .map(|upstream| upstream.instance().clone())
+            .filter(|instance| !known.contains(instance))
+            .collect();
+        for instance in gone {
+            self.table.remove(name, &instance);
+        }
+        for record in records {
+            let announced = AnnouncedUpstream {
+                address: record.gate_address,
+                availability_zone: record.availability_zone.clone(),
+                instance: record.instance.clone(),
+                slots: record.slots,
+            };
+            let standing = if record.draining {
+                UpstreamStanding::Leaving
+            } else {
+                UpstreamStanding::Alive
+            };
+            self.table.announce(now, name, announced);
+            self.table.set_standing(name, &record.instance, standing);
+        }
+    }
+
+    fn service(&mut self, name: &ServiceName, settings: &CallSettings) -> &mut Service {
+        let entry = self.services.entry(name.clone());
+        entry.or_insert_with(|| Service::new(settings))
+    }
+}
+
+impl Service {
+    fn new(settings: &CallSettings) -> Self {
+        Self {
+            budget: RetryBudget::new(settings),
+            directory: None,
+        }
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,6 @@
 use std::{
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, Ordering},
         mpsc::{self, Sender},
     },
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
+use medlarspool_calls::CallSettings;
 use medlarspool_platform::Platform;
 use medlarspool_proto::{FleetKey, MAX_MESSAGE_BYTES, PeerServer};
 use medlarspool_spread::SnapshotHolder;
@@ -28,6 +29,12 @@
     platform_worker::PlatformWorker, shared::Shared, spread_state::SpreadState,
 };
 
+/// How long no call may arrive before a draining gate stops to answer.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// How often a draining gate looks whether calls still arrive.
+const QUIET_CHECK: Duration = Duration::from_millis(50);
+
 /// Workers of the administration and the announcement servers.
 const SIDE_WORKERS: usize = 2;
 
@@ -40,6 +47,8 @@
     announcements: BoundedServer,
     callers: BoundedServer,
     control: Sender<ControlMessage>,
+    gate: Arc<Gate>,
+    peers: tokio::task::JoinHandle<()>,
     peers_stop: oneshot::Sender<()>,
     runtime: Runtime,
     shared: Arc<Shared>,
@@ -60,7 +69,8 @@
         let (control, control_messages) = mpsc::channel();
         let shared = Arc::new(share(settings, clock, control.clone())?);
         let runtime = start_runtime()?;
-        let gate = Arc::new(Gate::new(Arc::clone(&shared)));
+        let calls = CallSettings::default();
+        let gate = Gate::new(Arc::clone(&shared), &calls);
         let (jobs, job_queue) = mpsc::channel();
         let socket = Arc::new(DatagramSocket::bind(Arc::clone(&shared))?);
         let threads = vec![
@@ -75,12 +85,14 @@
             )?,
         ];
         let (peers_stop, stopped) = oneshot::channel();
-        serve_peers(&runtime, &shared, &gate, stopped)?;
+        let peers = serve_peers(&runtime, &shared, &gate, stopped)?;
         let daemon = Self {
             administration: start_administration(&shared)?,
             announcements: start_announcements(&shared)?,
-            callers: start_callers(&shared, gate, runtime.handle())?,
+            callers: start_callers(&shared, &calls, Arc::clone(&gate), runtime.handle())?,
             control,
+            gate,
+            peers,
             peers_stop,
             runtime,
             shared,
@@ -108,13 +120,19 @@
         self.shared.draining.store(true, Ordering::Release);
         self.shared.tell_control(ControlMessage::Leave);
         std::thread::sleep(LEAVE_LINGER.min(self.shared.settings.drain_timeout));
+        self.gate.queue().drain();
         drop(self.callers);
+        wait_until_quiet(&self.gate, self.shared.settings.drain_timeout);
         drop(self.announcements);
         if self.peers_stop.send(()).is_err() {
             log::warn!("the peers' server had stopped");
         }
-        self.runtime
-            .shutdown_timeout(self.shared.settings.drain_timeout);
+        let drain_timeout = self.shared.settings.drain_timeout;
+        let served = async { tokio::time::timeout(drain_timeout, self.peers).await };
+        if self.runtime.block_on(served).is_err() {
+            log::warn!(cut_off = !self.gate.queue().is_drained(); "the drain timeout passed");
+        }
+        self.runtime.shutdown_timeout(drain_timeout);
         self.shared.stopped.store(true, Ordering::Release);
         if self.control.send(ControlMessage::Stop).is_err() {
             log::warn!("the control thread had stopped");
@@ -129,12 +147,33 @@
     }
 }
 
+/// Waits until all calls are finished and no entry has sent another one for a while.
+///
+/// Until then the gate answers, so that whoever has not heard of the drain is refused and not cut
+/// off.
+fn wait_until_quiet(gate: &Gate, longest: Duration) {
+    let mut arrivals = gate.arrivals();
+    let mut quiet = Duration::ZERO;
+    let mut waited = Duration::ZERO;
+    while waited < longest && (quiet < QUIET || !gate.queue().is_drained()) {
+        std::thread::sleep(QUIET_CHECK);
+        waited += QUIET_CHECK;
+        let seen = gate.arrivals();
+        quiet = if seen == arrivals {
+            quiet + QUIET_CHECK
+        } else {
+            Duration::ZERO
+        };
+        arrivals = seen;
+    }
+}
+
 fn serve_peers(
     runtime: &Runtime,
     shared: &Arc<Shared>,
     gate: &Arc<Gate>,
     stopped: oneshot::Receiver<()>,
-) -> Result<(), DaemonError> {
+) -> Result<tokio::task::JoinHandle<()>, DaemonError> {
     let address = shared.settings.peers_address;
     let listener = runtime
         .block_on(TcpListener::bind(address))
@@ -155,13 +194,13 @@
         .serve_with_incoming_shutdown(incoming, async {
             let _ = stopped.await;
         });
-    runtime.spawn(async {
+    let serving = runtime.spawn(async {
         if let Err(error) = serving.await {
             log::error!(error = error.to_string().as_str(); "the peers' server stopped");
         }
     });
     log::debug!(max_message_bytes = MAX_MESSAGE_BYTES; "serving peers");
-    Ok(())
+    Ok(serving)
 }
 
 fn share(
@@ -212,16 +251,12 @@
 
 fn start_callers(
     shared: &Arc<Shared>,
+    calls: &CallSettings,
     gate: Arc<Gate>,
     runtime: &Handle,
 ) -> Result<BoundedServer, DaemonError> {
-    let entry = Arc::new(Entry {
-        gate,
-        peers: PeerPool::new(shared.key.clone(), runtime.clone()),
-        random: Mutex::new(fastrand::Rng::with_seed(shared.incarnation.0)),
-        runtime: runtime.clone(),
-        shared: Arc::clone(shared),
-    });
+    let peers = Arc::new(PeerPool::new(shared.key.clone()));
+    let entry = Arc::new(Entry::new(shared, calls, gate, peers, runtime.clone()));
     let address = shared.settings.callers_address;
     let workers = shared.settings.worker_threads;
     BoundedServer::start("callers", address, workers, move |request| {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,38 +1,87 @@
 use std::{
-    io::Read,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
-use medlarspool_config::{RouteDecision, Snapshot};
-use medlarspool_proto::{CallReply, CallRequest, Header, Refusal, WireHead};
-use medlarspool_types::{CallId, ServiceName, Verdict};
+use medlarspool_calls::{
+    Admission, AdmissionRefusal, CallOutcome, CallSettings, FailedTry, Idempotency, RetryDecision,
+};
+use medlarspool_config::Snapshot;
+use medlarspool_proto::{CallReply, CallRequest, Refusal, WireHead, WireVerdict};
+use medlarspool_types::{ConfigVersion, InstanceId, ServiceName, Verdict};
 use tiny_http::Request;
 use tokio::runtime::Handle;
-use tonic::Code;
 
 use crate::{
-    control_message::ControlMessage, gate::Gate, http_reply::HttpReply, peer_pool::PeerPool,
-    shared::Shared, upstream_client::is_end_to_end, upstream_record::UpstreamRecord,
+    caller_reply::caller_reply, caller_request, choices::Choices, control_message::ControlMessage,
+    gate::Gate, hop::Hop, hop_end::HopEnd, http_reply::HttpReply, peer_pool::PeerPool,
+    refusal_codec::other_upstream_may, shared::Shared,
 };
 
-/// The pause before a request that did not run is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How often a call looks for what it waits for.
+const WAIT_CHECK: Duration = Duration::from_millis(10);
+
+/// The longest wait for an upstream to be announced or for a newer configuration.
+const WAIT_LONGEST: Duration = Duration::from_secs(1);
+
+/// When to come back to a service of which no upstream is known.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Takes callers' requests, admits them by plan and hands them to a gate.
 pub(crate) struct Entry {
-    pub(crate) gate: Arc<Gate>,
-    pub(crate) peers: PeerPool,
-    pub(crate) random: Mutex<fastrand::Rng>,
-    pub(crate) runtime: Handle,
-    pub(crate) shared: Arc<Shared>,
+    choices: Choices,
+    hop: Hop,
+    retry_per_mille: u32,
+    runtime: Handle,
+    shared: Arc<Shared>,
+    waiting: AtomicUsize,
+}
+
+/// A caller's request on its way, with all that its tries share.
+struct Call {
+    deadline: Instant,
+    idempotency: Idempotency,
+    request: CallRequest,
+    service: ServiceName,
+}
+
+/// What the configuration and the caller say of a request's bounds.
+struct Route {
+    customer: String,
+    head: WireHead,
+    max_body_bytes: u64,
+    timeout: Duration,
 }
 
 impl Entry {
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        settings: &CallSettings,
+        gate: Arc<Gate>,
+        peers: Arc<PeerPool>,
+        runtime: Handle,
+    ) -> Self {
+        Self {
+            choices: Choices::new(Arc::clone(shared), settings),
+            hop: Hop {
+                gate,
+                peers,
+                shared: Arc::clone(shared),
+            },
+            retry_per_mille: settings.retry_per_mille,
+            runtime,
+            shared: Arc::clone(shared),
+            waiting: AtomicUsize::new(0),
+        }
+    }
+
     /// Answers one caller.
     pub(crate) fn handle(&self, mut request: Request) {
         let reply = match self.admit(&mut request) {
-            Ok((call, timeout)) => self.call(call, timeout),
+            Ok(call) => caller_reply(self.call(call)),
             Err(reply) => reply.with_verdict(Verdict::NotRun),
         };
         let outcome = match reply.status {
@@ -48,103 +97,170 @@
         reply.send(request);
     }
 
-    fn admit(&self, request: &mut Request) -> Result<(CallRequest, Duration), HttpReply> {
-        let snapshot = self.shared.serving();
-        let snapshot =
-            snapshot.ok_or_else(|| HttpReply::text(503, "no configuration is in use yet\n"))?;
-        let (service, path) = split_path(request.url())?;
-        let (customer, timeout) = route(&snapshot, request, &service)?;
-        let body = self.read_body(request)?;
-        let call = CallRequest {
-            admitted_by: Some(WireHead::from(snapshot.head())),
-            attempts_left: 0,
-            body,
-            customer,
-            headers: headers(request),
-            idempotency_key: header(request, "idempotency-key").unwrap_or_default(),
-            method: request.method().as_str().to_owned(),
-            path,
-            remaining_ms: millis(timeout),
-            service: service.as_str().to_owned(),
-            ..CallRequest::default()
-        };
-        Ok((call, timeout))
+    fn admit(&self, request: &mut Request) -> Result<Call, HttpReply> {
+        let arrived = self.shared.clock.now();
+        let (service, path) = caller_request::service_and_path(request.url())?;
+        let context = caller_request::context(request)?.map(|told| self.hop.gate.deduct_run(told));
+        if context.is_some_and(|context| context.is_too_deep()) {
+            return Err(HttpReply::text(508, "the chain of calls is too deep\n"));
+        }
+        let credential = caller_request::credential(request);
+        let version = context.map_or(ConfigVersion::NONE, |context| context.version);
+        let route = self.route(&credential, &service, version)?;
+        let mut timeout = route.timeout;
+        if let Some(patience) = caller_request::patience(request)? {
+            timeout = timeout.min(patience);
+        }
+        if let Some(context) = context {
+            timeout = timeout.min(context.remaining);
+        }
+        let body = caller_request::body(request, route.max_body_bytes)?;
+        let share = context.map_or(self.retry_per_mille, |context| {
+            context.retry_per_mille.min(self.retry_per_mille)
+        });
+        let method = request.method().as_str().to_owned();
+        Ok(Call {
+            deadline: arrived + timeout,
+            idempotency: Idempotency::of_method(&method),
+            request: CallRequest {
+                admitted_by: Some(route.head),
+                body,
+                customer: route.customer,
+                depth: context.map_or(0, |context| context.depth.into()),
+                headers: caller_request::headers(request),
+                idempotency_key: caller_request::header(request, "idempotency-key")
+                    .unwrap_or_default(),
+                method,
+                path,
+                retry_per_mille: share,
+                service: service.as_str().to_owned(),
+                ..CallRequest::default()
+            },
+            service,
+        })
+    }
+
+    /// Decides by the newest configuration of those held here and named by the call above.
+    fn route(
+        &self,
+        credential: &str,
+        service: &ServiceName,
+        version: ConfigVersion,
+    ) -> Result<Route, HttpReply> {
+        let until = self.shared.clock.now() + WAIT_LONGEST;
+        loop {
+            let snapshot = self.shared.serving();
+            let snapshot =
+                snapshot.ok_or_else(|| HttpReply::text(503, "no configuration is in use yet\n"))?;
+            if snapshot.authenticate(credential).is_none() {
+                return Err(refused_by_plan(AdmissionRefusal::UnknownCredential));
+            }
+            match Admission::at_entry(&snapshot, credential, service, version) {
+                Admission::Admitted { customer, route } => {
+                    return Ok(Route {
+                        customer: customer.as_str().to_owned(),
+                        head: snapshot.head().into(),
+                        max_body_bytes: self
+                            .shared
+                            .settings
+                            .max_body_bytes
+                            .min(route.service.max_request_bytes),
+                        timeout: route.service.timeout_ms,
+                    });
+                }
+                Admission::Refused(refusal) => return Err(refused_by_plan(refusal)),
+                Admission::FetchFirst(_) => self.wait_or(until, &snapshot)?,
+            }
+        }
     }
 
-    fn read_body(&self, request: &mut Request) -> Result<Vec<u8>, HttpReply> {
-        let limit = self.shared.settings.max_body_bytes;
-        let mut body = Vec::new();
-        request
-            .as_reader()
-            .take(limit + 1)
-            .read_to_end(&mut body)
-            .map_err(|_| HttpReply::text(400, "the body can't be read\n"))?;
-        if body.len() as u64 > limit {
-            return Err(HttpReply::text(413, "the body is too large\n"));
+    fn wait_or(&self, until: Instant, held: &Snapshot) -> Result<(), HttpReply> {
+        let waits = self.waiting.fetch_add(1, Ordering::AcqRel);
+        let may_wait = waits < self.most_waiting() && self.shared.clock.now() < until;
+        if may_wait {
+            std::thread::sleep(WAIT_CHECK);
+        }
+        self.waiting.fetch_sub(1, Ordering::AcqRel);
+        if may_wait {
+            return Ok(());
         }
-        Ok(body)
+        let text = format!("only version {} is held here\n", held.head().version);
+        Err(HttpReply::text(503, &text).with_retry_after(RETRY_AFTER_MS))
     }
 
-    fn call(&self, mut call: CallRequest, timeout: Duration) -> HttpReply {
-        let deadline = self.shared.clock.now() + timeout;
+    /// Makes tries until one is answered or nothing is gained by another.
+    fn call(&self, mut call: Call) -> CallReply {
+        let share = call.request.retry_per_mille;
+        call.request.retry_per_mille = self.choices.pay_in(&call.service, share);
+        let mut tried: Vec<InstanceId> = Vec::new();
+        let mut may_have_run = false;
         loop {
-            call.remaining_ms = millis(self.remaining(deadline));
-            let reply = self.attempt(&call);
-            let again = reply.typed_verdict() == Verdict::NotRun
-                && reply.refusal() != Refusal::NotAllowed
-                && self.remaining(deadline) > RETRY_PAUSE;
-            if !again {
-                return http_reply(reply);
+            let Some((call_id, choice)) = self.choose(&call, &tried) else {
+                return no_upstream(may_have_run);
+            };
+            let request = CallRequest {
+                call_id: call_id.0.to_be_bytes().to_vec(),
+                remaining_ms: millis(self.remaining(call.deadline)),
+                ..call.request.clone()
+            };
+            let attempt =
+                self.hop
+                    .attempt(choice.address, request, choice.expected, call.idempotency);
+            let end = self.runtime.block_on(attempt);
+            self.choices.finish(&call.service, &choice.instance, &end);
+            if end.outcome == CallOutcome::ConnectFailed {
+                let refused = ControlMessage::ConnectionRefused(choice.instance.clone());
+                self.shared.tell_control(refused);
+            }
+            may_have_run |= end.reply.typed_verdict() == Verdict::MayHaveRun;
+            tried.push(choice.instance);
+            let failed = failed_try(&call, &end, choice.expected, tried.len(), may_have_run);
+            match self.choices.decide(&call.service, call_id, &failed) {
+                RetryDecision::GiveUp { retry_after, .. } => {
+                    return given_up(end.reply, failed.verdict, retry_after);
+                }
+                RetryDecision::Retry { after } => std::thread::sleep(after),
             }
-            std::thread::sleep(RETRY_PAUSE);
+            call.request.retry_per_mille = 0;
         }
     }
 
-    fn attempt(&self, call: &CallRequest) -> CallReply {
-        let Some(upstream) = self.choose(&call.service) else {
-            return CallReply::refused(Verdict::NotRun, Refusal::UpstreamMissing);
-        };
-        let call_id = {
-            let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
-            CallId::draw(&mut random)
-        };
-        let call = CallRequest {
-            call_id: call_id.0.to_be_bytes().to_vec(),
-            gate_incarnation: upstream.gate_incarnation.0,
-            ..call.clone()
-        };
-        if upstream.gate_address == self.shared.settings.peers_address {
-            return self.runtime.block_on(self.gate.call(call));
+    /// Chooses an upstream; if none is known, a few callers wait a moment for one to be announced.
+    fn choose(
+        &self,
+        call: &Call,
+        tried: &[InstanceId],
+    ) -> Option<(medlarspool_types::CallId, medlarspool_calls::Choice)> {
+        let chosen = self.choices.choose(&call.service, tried);
+        if chosen.is_some() {
+            return chosen;
         }
-        let timeout = Duration::from_millis(call.remaining_ms);
-        let Ok(client) = self.peers.client(upstream.gate_address) else {
-            return CallReply::refused(Verdict::NotRun, Refusal::UpstreamMissing);
-        };
-        self.runtime
-            .block_on(client.call(call, timeout))
-            .unwrap_or_else(|status| {
-                if status.code() == Code::Unavailable {
-                    let refused = ControlMessage::ConnectionRefused(upstream.instance);
-                    self.shared.tell_control(refused);
-                }
-                CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed)
-            })
+        let waits = self.waiting.fetch_add(1, Ordering::AcqRel);
+        let chosen = (waits < self.most_waiting())
+            .then(|| self.wait_for_upstream(call))
+            .flatten();
+        self.waiting.fetch_sub(1, Ordering::AcqRel);
+        chosen
     }
 
-    fn choose(&self, service: &str) -> Option<UpstreamRecord> {
-        let service: ServiceName = service.parse().ok()?;
-        let directory = self.shared.directory.load();
-        if directory.of(&service).is_empty() {
-            self.shared
-                .tell_control(ControlMessage::Interest(service.clone()));
+    fn wait_for_upstream(
+        &self,
+        call: &Call,
+    ) -> Option<(medlarspool_types::CallId, medlarspool_calls::Choice)> {
+        let until = call.deadline.min(self.shared.clock.now() + WAIT_LONGEST);
+        while self.shared.clock.now() < until {
+            std::thread::sleep(WAIT_CHECK);
+            let chosen = self.choices.choose(&call.service, &[]);
+            if chosen.is_some() {
+                return chosen;
+            }
         }
-        let serving: Vec<_> = directory
-            .of(&service)
-            .iter()
-            .filter(|upstream| !upstream.draining)
-            .collect();
-        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
-        random.choice(serving).cloned()
+        None
+    }
+
+    /// A quarter of the workers may wait for what is missing; the others serve on.
+    fn most_waiting(&self) -> usize {
+        self.shared.settings.worker_threads.div_ceil(4)
     }
 
     fn remaining(&self, deadline: Instant) -> Duration {
@@ -152,78 +268,64 @@
     }
 }
 
-fn header(request: &Request, name: &'static str) -> Option<String> {
-    request
-        .headers()
-        .iter()
-        .find(|header| header.field.equiv(name))
-        .map(|header| header.value.as_str().to_owned())
-}
-
-fn headers(request: &Request) -> Vec<Header> {
-    request
-        .headers()
-        .iter()
-        .map(|header| Header {
-            name: header.field.as_str().as_str().to_ascii_lowercase(),
-            value: header.value.as_str().to_owned(),
-        })
-        .filter(|header| is_end_to_end(&header.name) && header.name != "authorization")
-        .collect()
+fn failed_try(
+    call: &Call,
+    end: &HopEnd,
+    expected: Duration,
+    tries: usize,
+    may_have_run: bool,
+) -> FailedTry {
+    let verdict = match end.reply.typed_verdict() {
+        Verdict::NotRun if may_have_run => Verdict::MayHaveRun,
+        verdict => verdict,
+    };
+    let retry_after_ms = end.reply.retry_after_ms;
+    FailedTry {
+        deadline: call.deadline,
+        expected,
+        idempotency: call.idempotency,
+        other_upstream_may: other_upstream_may(end.reply.refusal()),
+        retry_after: (retry_after_ms > 0).then(|| Duration::from_millis(retry_after_ms)),
+        tries: u32::try_from(tries).unwrap_or(u32::MAX),
+        verdict,
+    }
 }
 
-fn http_reply(reply: CallReply) -> HttpReply {
-    let verdict = reply.typed_verdict();
-    let answer = match verdict {
-        Verdict::MayHaveRun => HttpReply::text(502, "the request may have run\n"),
-        Verdict::NotRun if reply.refusal() == Refusal::NotAllowed => {
-            HttpReply::text(403, "the customer's plan does not allow this service\n")
-        }
-        Verdict::NotRun => HttpReply::text(503, "the request did not run\n").with_header(
-            "retry-after",
-            &reply.retry_after_ms.div_ceil(1000).max(1).to_string(),
-        ),
-        Verdict::Ran => HttpReply {
-            body: reply.body,
-            headers: reply.headers,
-            status: u16::try_from(reply.status).unwrap_or(502),
-        },
-    };
-    answer.with_verdict(verdict)
+fn given_up(reply: CallReply, verdict: Verdict, retry_after: Duration) -> CallReply {
+    if verdict == Verdict::Ran {
+        return reply;
+    }
+    CallReply {
+        retry_after_ms: millis(retry_after),
+        verdict: WireVerdict::from(verdict).into(),
+        ..reply
+    }
 }
 
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn route(
-    snapshot: &Snapshot,
-    request: &Request,
-    service: &ServiceName,
-) -> Result<(String, Duration), HttpReply> {
-    let credential = header(request, "authorization").unwrap_or_default();
-    let credential = credential.strip_prefix("Bearer ").unwrap_or_default();
-    let caller = snapshot
-        .authenticate(credential)
-        .ok_or_else(|| HttpReply::text(401, "the credential is not a customer's\n"))?;
-    match snapshot.route(&caller.customer, service) {
-        RouteDecision::Allowed(route) => Ok((
-            caller.customer.as_str().to_owned(),
-            route.service.timeout_ms,
-        )),
-        RouteDecision::NotInPlan | RouteDecision::UnknownCustomer => Err(HttpReply::text(
-            403,
-            "the customer's plan does not allow this service\n",
-        )),
-        RouteDecision::UnknownService => Err(HttpReply::text(404, "no such service\n")),
+fn no_upstream(may_have_run: bool) -> CallReply {
+    let verdict = if may_have_run {
+        Verdict::MayHaveRun
+    } else {
+        Verdict::NotRun
+    };
+    CallReply {
+        retry_after_ms: RETRY_AFTER_MS,
+        ..CallReply::refused(verdict, Refusal::UpstreamMissing)
     }
 }
 
-fn split_path(url: &str) -> Result<(ServiceName, String), HttpReply> {
-    let rest = url.strip_prefix('/').unwrap_or(url);
-    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = service
-        .parse()
-        .map_err(|error| HttpReply::text(404, &format!("no such service: {error}\n")))?;
-    Ok((service, format!("/{path}")))
+fn refused_by_plan(refusal: AdmissionRefusal) -> HttpReply {
+    match refusal {
+        AdmissionRefusal::NotInPlan | AdmissionRefusal::UnknownCustomer => {
+            HttpReply::text(403, "the customer's plan does not allow this service\n")
+        }
+        AdmissionRefusal::UnknownCredential => {
+            HttpReply::text(401, "the credential is not a customer's\n")
+        }
+        AdmissionRefusal::UnknownService => HttpReply::text(404, "no such service\n"),
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/fate_codec.rs
@@ -0,0 +1,63 @@
+//! Turns the call core's fates and channels into wire messages and back.
+
+use std::{sync::Arc, time::Duration};
+
+use medlarspool_calls::{ChannelId, Fate, FateReply};
+use medlarspool_proto::{CallReply, FateAnswer, WireChannel, WireFate};
+use medlarspool_types::{CallId, Incarnation};
+
+/// Returns the id that stands in a message; a malformed one reads as an id that nobody drew.
+pub(crate) fn call_id(bytes: &[u8]) -> CallId {
+    CallId(bytes.try_into().map_or(0, u128::from_be_bytes))
+}
+
+/// Returns the channel that a message names; a missing one reads as one of no gate.
+pub(crate) fn channel_id(channel: Option<WireChannel>) -> ChannelId {
+    let channel = channel.unwrap_or_default();
+    ChannelId {
+        gate_life: Incarnation(channel.gate_life),
+        number: channel.number,
+    }
+}
+
+/// Returns a channel as it stands in a message.
+pub(crate) const fn wire_channel(channel: ChannelId) -> WireChannel {
+    WireChannel {
+        gate_life: channel.gate_life.0,
+        number: channel.number,
+    }
+}
+
+/// Returns a gate's reply to a question as a message.
+pub(crate) fn fate_answer(reply: FateReply<Arc<CallReply>>) -> FateAnswer {
+    let remembered_us = u64::try_from(reply.remembered.as_micros()).unwrap_or(u64::MAX);
+    let (fate, answer) = match reply.fate {
+        Fate::AnswerGone => (WireFate::AnswerGone, None),
+        Fate::MayHaveRun => (WireFate::MayHaveRun, None),
+        Fate::NeverSeen => (WireFate::NeverSeen, None),
+        Fate::NotRun => (WireFate::NotRun, None),
+        Fate::Ran(answer) => (WireFate::Ran, Some(Arc::unwrap_or_clone(answer))),
+        Fate::Underway => (WireFate::Underway, None),
+    };
+    FateAnswer {
+        answer,
+        fate: fate.into(),
+        remembered_us,
+    }
+}
+
+/// Returns the reply to a question that a message carries.
+pub(crate) fn fate_reply(answer: FateAnswer) -> FateReply<Arc<CallReply>> {
+    let remembered = Duration::from_micros(answer.remembered_us);
+    let fate = match answer.fate() {
+        WireFate::AnswerGone => Fate::AnswerGone,
+        WireFate::MayHaveRun => Fate::MayHaveRun,
+        WireFate::NeverSeen => Fate::NeverSeen,
+        WireFate::NotRun => Fate::NotRun,
+        WireFate::Ran => answer
+            .answer
+            .map_or(Fate::AnswerGone, |answer| Fate::Ran(Arc::new(answer))),
+        WireFate::Underway => Fate::Underway,
+    };
+    FateReply { fate, remembered }
+}
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -1,115 +1,320 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
-use medlarspool_config::RouteDecision;
+use medlarspool_calls::{
+    Admission, CallSettings, ChannelId, Fate, FateQuestion, GateWork, QuestionKind, RequestContext,
+    RunEnd, Slot,
+};
 use medlarspool_proto::{CallReply, CallRequest, LoadReport, Refusal, WireHead};
-use medlarspool_types::{CustomerId, ServiceName, Verdict};
+use medlarspool_types::{CallId, ConfigVersion, CustomerId, ServiceName, Verdict};
 
 use crate::{
-    control_message::ControlMessage, local_upstream::Announced, shared::Shared,
+    Announcement,
+    control_message::ControlMessage,
+    fate_codec::{call_id, channel_id},
+    gate_queue::{GateQueue, Place},
+    refusal_codec::wire_refusal,
+    shared::Shared,
+    turn::Turn,
     upstream_client::UpstreamClient,
+    upstream_end::UpstreamEnd,
 };
 
-/// When a refused caller is told to come back.
+/// When a caller refused for another reason than load is told to come back.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The longest that a gate waits for a configuration as new as the entry's.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+
+/// How often a gate looks for that configuration.
+const CONFIGURATION_CHECK: Duration = Duration::from_millis(10);
+
+/// How often a repeated call's first arrival is asked after.
+const REPEATED_CHECK: Duration = Duration::from_millis(10);
+
 /// The only way to the upstream beside this daemon, so that its "not run" is a fact.
 pub(crate) struct Gate {
-    client: Arc<UpstreamClient>,
+    arrivals: AtomicU64,
+    client: UpstreamClient,
+    queue: Arc<GateQueue>,
     shared: Arc<Shared>,
 }
 
+/// A request that was admitted, with what its run needs.
+struct Admitted {
+    announcement: Announcement,
+    call: CallId,
+    deadline: Instant,
+    request: CallRequest,
+    work: GateWork,
+}
+
 impl Gate {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        Self {
-            client: Arc::new(UpstreamClient::new(shared.settings.max_body_bytes)),
+    pub(crate) fn new(shared: Arc<Shared>, settings: &CallSettings) -> Arc<Self> {
+        let clock = Arc::clone(&shared.clock);
+        Arc::new(Self {
+            arrivals: AtomicU64::new(0),
+            client: UpstreamClient::new(shared.settings.max_body_bytes),
+            queue: GateQueue::new(settings, shared.incarnation, clock),
             shared,
-        }
+        })
     }
 
-    pub(crate) async fn call(&self, request: CallRequest) -> CallReply {
-        let mut reply = match self.admit(&request) {
-            Ok(announced) => self.run(announced, request).await,
-            Err(refusal) => CallReply::refused(Verdict::NotRun, refusal),
+    /// The decisions, for questions after fates and for channels.
+    pub(crate) const fn queue(&self) -> &Arc<GateQueue> {
+        &self.queue
+    }
+
+    /// Runs a peer's request or refuses it; the caller's thread is never blocked.
+    pub(crate) async fn call(self: &Arc<Self>, request: CallRequest) -> CallReply {
+        let reply = match self.admit(request).await {
+            Ok(admitted) => self.queue_and_run(admitted).await,
+            Err(refusal) => refused(refusal),
         };
-        reply.held = Some(WireHead::from(self.shared.held()));
-        reply.load = self.load();
-        if reply.typed_verdict() == Verdict::NotRun {
-            reply.retry_after_ms = u64::try_from(RETRY_AFTER.as_millis()).unwrap_or(u64::MAX);
-        }
-        reply
+        self.complete(reply)
+    }
+
+    /// Runs a request of this daemon's own entry; a run blocks the entry's worker thread.
+    pub(crate) async fn call_here(self: &Arc<Self>, mut request: CallRequest) -> CallReply {
+        let channel = self.queue.open_channel();
+        request.channel = Some(crate::fate_codec::wire_channel(channel));
+        let reply = match self.admit(request).await {
+            Ok(admitted) => {
+                let (turn, admitted) = self.wait_for_turn(admitted).await;
+                match turn {
+                    Turn::Start(slot) => self.run(&admitted, slot),
+                    other => self.without_run(&admitted, other).await,
+                }
+            }
+            Err(refusal) => refused(refusal),
+        };
+        self.queue.close_channel(channel);
+        self.complete(reply)
     }
 
-    fn admit(&self, request: &CallRequest) -> Result<Announced, Refusal> {
+    /// Returns how many calls arrived, so that a stopping daemon sees when no more come.
+    pub(crate) fn arrivals(&self) -> u64 {
+        self.arrivals.load(Ordering::Relaxed)
+    }
+
+    async fn admit(&self, request: CallRequest) -> Result<Admitted, Refusal> {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+        let now = self.shared.clock.now();
+        let deadline = now + Duration::from_millis(request.remaining_ms);
         if self.shared.is_draining() {
             return Err(Refusal::Draining);
         }
-        self.check_plan(request)?;
-        let announced = self
+        let customer: CustomerId = request.customer.parse().map_err(|_| Refusal::NotAllowed)?;
+        let service: ServiceName = request.service.parse().map_err(|_| Refusal::NotAllowed)?;
+        let version = ConfigVersion(request.admitted_by.map_or(0, |head| head.version));
+        let weight = self
+            .admit_by_plan(&customer, &service, version, deadline)
+            .await?;
+        let announcement = self.upstream(&service)?;
+        let call = call_id(&request.call_id);
+        let work = GateWork {
+            call,
+            customer,
+            deadline,
+            weight,
+        };
+        Ok(Admitted {
+            announcement,
+            call,
+            deadline,
+            request,
+            work,
+        })
+    }
+
+    /// Returns the customer's weight, by a configuration at least as new as the entry's.
+    async fn admit_by_plan(
+        &self,
+        customer: &CustomerId,
+        service: &ServiceName,
+        version: ConfigVersion,
+        deadline: Instant,
+    ) -> Result<u32, Refusal> {
+        let until = deadline.min(self.shared.clock.now() + CONFIGURATION_WAIT);
+        loop {
+            if let Some(decided) = self.decide_by_plan(customer, service, version) {
+                return decided;
+            }
+            if self.shared.clock.now() >= until {
+                return Err(Refusal::NoConfiguration);
+            }
+            tokio::time::sleep(CONFIGURATION_CHECK).await;
+        }
+    }
+
+    fn decide_by_plan(
+        &self,
+        customer: &CustomerId,
+        service: &ServiceName,
+        version: ConfigVersion,
+    ) -> Option<Result<u32, Refusal>> {
+        let snapshot = self.shared.serving()?;
+        match Admission::at_gate(&snapshot, customer, service, version) {
+            Admission::Admitted { route, .. } => Some(Ok(route.weight)),
+            Admission::FetchFirst(_) => None,
+            Admission::Refused(_) => Some(Err(Refusal::NotAllowed)),
+        }
+    }
+
+    fn upstream(&self, service: &ServiceName) -> Result<Announcement, Refusal> {
+        let announcement = self
             .shared
             .local_upstream
             .current(self.shared.clock.now())
-            .filter(|announced| announced.announcement.service.as_str() == request.service)
+            .filter(|announcement| announcement.service == *service)
             .ok_or(Refusal::UpstreamMissing)?;
-        if announced.announcement.draining {
+        if announcement.draining {
             return Err(Refusal::Draining);
         }
-        Ok(announced)
+        self.queue.set_slots(announcement.slots);
+        Ok(announcement)
     }
 
-    fn check_plan(&self, request: &CallRequest) -> Result<(), Refusal> {
-        let snapshot = self.shared.serving();
-        let snapshot = snapshot.as_ref().ok_or(Refusal::NoConfiguration)?;
-        let admitted_version = request.admitted_by.map_or(0, |head| head.version);
-        if snapshot.head().version.0 < admitted_version {
-            return Err(Refusal::NoConfiguration);
-        }
-        let customer: CustomerId = request.customer.parse().map_err(|_| Refusal::NotAllowed)?;
-        let service: ServiceName = request.service.parse().map_err(|_| Refusal::NotAllowed)?;
-        match snapshot.route(&customer, &service) {
-            RouteDecision::Allowed(_) => Ok(()),
-            RouteDecision::NotInPlan
-            | RouteDecision::UnknownCustomer
-            | RouteDecision::UnknownService => Err(Refusal::NotAllowed),
+    async fn queue_and_run(self: &Arc<Self>, admitted: Admitted) -> CallReply {
+        let (turn, admitted) = self.wait_for_turn(admitted).await;
+        let slot = match turn {
+            Turn::Start(slot) => slot,
+            other => return self.without_run(&admitted, other).await,
+        };
+        let gate = Arc::clone(self);
+        let running = tokio::task::spawn_blocking(move || gate.run(&admitted, slot));
+        running.await.unwrap_or_else(|_| lost())
+    }
+
+    async fn wait_for_turn(&self, admitted: Admitted) -> (Turn, Admitted) {
+        let channel = channel_id(admitted.request.channel);
+        let mut place: Place = self.queue.offer(admitted.work.clone(), channel);
+        let turn = match place.try_turn() {
+            Some(turn) => turn,
+            None => place.turn(self.remaining(admitted.deadline)).await,
+        };
+        (turn, admitted)
+    }
+
+    async fn without_run(&self, admitted: &Admitted, turn: Turn) -> CallReply {
+        match turn {
+            Turn::Refused(refusal) => CallReply {
+                retry_after_ms: millis(refusal.retry_after),
+                ..refused(wire_refusal(refusal.reason))
+            },
+            Turn::Repeated => self.answer_repeated(admitted).await,
+            Turn::Start(slot) => {
+                slot.finish(RunEnd::NotSent);
+                refused(Refusal::UpstreamDown)
+            }
         }
     }
 
-    fn load(&self) -> Option<LoadReport> {
-        let announced = self
-            .shared
-            .local_upstream
-            .current(self.shared.clock.now())?;
-        let slots = announced.announcement.slots;
-        let free = u32::try_from(announced.slots.available_permits()).unwrap_or(slots);
-        Some(LoadReport {
-            slots,
-            slots_in_use: slots.saturating_sub(free),
-            ..LoadReport::default()
-        })
+    async fn answer_repeated(&self, admitted: &Admitted) -> CallReply {
+        let question = FateQuestion {
+            call: admitted.call,
+            channel: channel_id(admitted.request.channel),
+            kind: QuestionKind::Inquire,
+        };
+        loop {
+            match self.queue.ask(&question).fate {
+                Fate::NotRun => return refused(Refusal::Fenced),
+                Fate::Ran(answer) => return Arc::unwrap_or_clone(answer),
+                Fate::Underway if !self.remaining(admitted.deadline).is_zero() => {
+                    tokio::time::sleep(REPEATED_CHECK).await;
+                }
+                _ => return lost(),
+            }
+        }
     }
 
-    async fn run(&self, announced: Announced, request: CallRequest) -> CallReply {
-        let remaining = Duration::from_millis(request.remaining_ms);
-        let started_at = self.shared.clock.now();
-        let slot = tokio::time::timeout(remaining, announced.slots.acquire_owned()).await;
-        let Ok(Ok(slot)) = slot else {
-            return CallReply::refused(Verdict::NotRun, Refusal::Deadline);
+    /// Hands a request to the upstream and waits for its whole answer.
+    fn run(&self, admitted: &Admitted, slot: Slot<Arc<CallReply>>) -> CallReply {
+        let remaining = self.remaining(admitted.deadline);
+        let context = RequestContext {
+            depth: u8::try_from(admitted.request.depth).unwrap_or(u8::MAX),
+            parent: None,
+            remaining,
+            retry_per_mille: admitted.request.retry_per_mille,
+            version: self.shared.held().version,
         };
-        let waited = self.shared.clock.now().duration_since(started_at);
-        let timeout = remaining.saturating_sub(waited);
-        let address = announced.announcement.address;
-        let client = Arc::clone(&self.client);
-        let running = tokio::task::spawn_blocking(move || {
-            let reply = client.run(address, &request, timeout);
-            drop(slot);
-            reply
-        });
-        let reply = running
-            .await
-            .unwrap_or_else(|_| CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed));
-        let is_refused = reply.typed_verdict() == Verdict::NotRun;
-        if is_refused && reply.refusal() == Refusal::UpstreamFailed {
-            self.shared.tell_control(ControlMessage::UpstreamRefused);
+        let context = context.next_hop(admitted.call, Duration::ZERO);
+        let address = admitted.announcement.address;
+        match self.client.run(address, &admitted.request, &context) {
+            UpstreamEnd::Answered(reply) => {
+                let answer_bytes = reply.body.len();
+                let answer = Arc::new(reply.clone());
+                slot.finish(RunEnd::Answered {
+                    answer,
+                    answer_bytes,
+                });
+                reply
+            }
+            UpstreamEnd::Lost => {
+                slot.finish(RunEnd::Lost);
+                lost()
+            }
+            UpstreamEnd::NotSent => {
+                self.shared.tell_control(ControlMessage::UpstreamRefused);
+                slot.finish(RunEnd::NotSent);
+                refused(Refusal::UpstreamDown)
+            }
+        }
+    }
+
+    fn complete(&self, mut reply: CallReply) -> CallReply {
+        reply.held = Some(WireHead::from(self.shared.held()));
+        reply.load = Some(wire_load(self.queue.load()));
+        if reply.typed_verdict() == Verdict::NotRun && reply.retry_after_ms == 0 {
+            reply.retry_after_ms = millis(RETRY_AFTER);
         }
         reply
     }
+
+    fn remaining(&self, deadline: Instant) -> Duration {
+        deadline.saturating_duration_since(self.shared.clock.now())
+    }
+
+    /// Returns the context of calls made during a run here, without the time that it has taken.
+    pub(crate) fn deduct_run(&self, context: RequestContext) -> RequestContext {
+        let running = context
+            .parent
+            .and_then(|parent| self.queue.running_for(parent))
+            .unwrap_or_default();
+        RequestContext {
+            remaining: context.remaining.saturating_sub(running),
+            ..context
+        }
+    }
+
+    /// Returns a channel for a new connection from an entry.
+    pub(crate) fn open_channel(&self) -> ChannelId {
+        self.queue.open_channel()
+    }
+}
+
+fn lost() -> CallReply {
+    CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn refused(refusal: Refusal) -> CallReply {
+    CallReply::refused(Verdict::NotRun, refusal)
+}
+
+fn wire_load(load: medlarspool_calls::LoadReport) -> LoadReport {
+    LoadReport {
+        queued: load.queued,
+        service_time_us: u64::try_from(load.run_time.as_micros()).unwrap_or(u64::MAX),
+        slots: load.slots,
+        slots_in_use: load.slots_in_use,
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/hop.rs
@@ -0,0 +1,223 @@
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_calls::{
+    CallOutcome, Fate,
+    Idempotency::{self, NonIdempotent},
+};
+use medlarspool_proto::{
+    CallReply, CallRequest, FateRequest, ProtoError, Refusal, WireChannel, WireVerdict,
+};
+use medlarspool_types::Verdict;
+
+use tonic::Status;
+
+use crate::{
+    fate_codec::fate_reply, gate::Gate, hop_end::HopEnd, peer_connection::PeerConnection,
+    peer_pool::PeerPool, shared::Shared,
+};
+
+/// How long a gate may take to say that a deadline passed, before its connection counts as silent.
+const GATE_GRACE: Duration = Duration::from_millis(250);
+
+/// How long a question after a fate may take.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long after the deadline a fate is still asked for.
+const SETTLE_GRACE: Duration = Duration::from_secs(1);
+
+/// How often a call that is underway is asked after.
+const UNDERWAY_CHECK: Duration = Duration::from_millis(20);
+
+/// The shortest silence after which a gate is asked over a new connection.
+const WATCH_SHORTEST: Duration = Duration::from_secs(1);
+
+/// By how much a call may outlast what was expected before its gate is asked.
+const WATCH_FACTOR: u32 = 4;
+
+/// Takes one try from this entry to a gate, and settles what became of it if no reply comes.
+pub(crate) struct Hop {
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) peers: Arc<PeerPool>,
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// A try that was sent to a peer.
+struct Sent {
+    address: SocketAddr,
+    call_id: Vec<u8>,
+    channel: WireChannel,
+    deadline: Instant,
+    drawn_at: Instant,
+    idempotency: Idempotency,
+}
+
+impl Hop {
+    /// Makes one try at the gate at `address`.
+    pub(crate) async fn attempt(
+        &self,
+        address: SocketAddr,
+        request: CallRequest,
+        expected: Duration,
+        idempotency: Idempotency,
+    ) -> HopEnd {
+        let started = self.shared.clock.now();
+        let deadline = started + Duration::from_millis(request.remaining_ms);
+        let reply = if address == self.shared.settings.peers_address {
+            Some(self.gate.call_here(request).await)
+        } else {
+            let sent = Sent {
+                address,
+                call_id: request.call_id.clone(),
+                channel: WireChannel::default(),
+                deadline,
+                drawn_at: started,
+                idempotency,
+            };
+            self.attempt_at_peer(sent, request, expected).await
+        };
+        let now = self.shared.clock.now();
+        let elapsed = now.duration_since(started);
+        match reply {
+            Some(reply) => HopEnd {
+                outcome: outcome(&reply, elapsed, now >= deadline),
+                reply,
+            },
+            None => HopEnd {
+                outcome: CallOutcome::ConnectFailed,
+                reply: CallReply::refused(Verdict::NotRun, Refusal::UpstreamDown),
+            },
+        }
+    }
+
+    /// Returns nothing if the peer could not be connected to, so that nothing was sent.
+    async fn attempt_at_peer(
+        &self,
+        mut sent: Sent,
+        mut request: CallRequest,
+        expected: Duration,
+    ) -> Option<CallReply> {
+        let connection = self.peers.connection(sent.address).await.ok()?;
+        sent.channel = connection.channel;
+        request.channel = Some(connection.channel);
+        if let Some(reply) = self.send(&connection, request, &sent, expected).await {
+            return Some(reply);
+        }
+        self.peers.give_up(sent.address, connection.channel).await;
+        Some(self.settle(&sent).await)
+    }
+
+    /// Sends a try and waits for the reply, or for the sign that none will come this way.
+    async fn send(
+        &self,
+        connection: &PeerConnection,
+        request: CallRequest,
+        sent: &Sent,
+        expected: Duration,
+    ) -> Option<CallReply> {
+        let timeout = self.remaining(sent.deadline) + GATE_GRACE;
+        let reply = connection.client.call(request, timeout);
+        let mut reply = std::pin::pin!(reply);
+        let mut watch = WATCH_SHORTEST.max(expected * WATCH_FACTOR);
+        loop {
+            tokio::select! {
+                reply = &mut reply => return received(reply),
+                () = tokio::time::sleep(watch) => {}
+            }
+            watch *= 2;
+            tokio::select! {
+                reply = &mut reply => return received(reply),
+                fate = self.look(sent) => match fate {
+                    Some(Fate::Ran(answer)) => return Some(Arc::unwrap_or_clone(answer)),
+                    Some(Fate::Underway) => {}
+                    _ => return None,
+                },
+            }
+        }
+    }
+
+    /// Asks after a try over a connection of its own, without stopping the try.
+    async fn look(&self, sent: &Sent) -> Option<Fate<Arc<CallReply>>> {
+        let connection = self.peers.connect(sent.address).await.ok()?;
+        let question = sent.question(false);
+        let answer = connection.client.fate(question, QUESTION_TIMEOUT).await;
+        Some(fate_reply(answer.ok()?).fate)
+    }
+
+    /// Asks until the gate knows what became of a try, is gone, or time is up.
+    ///
+    /// For a silent gate only a request that may not run twice waits; another is sent elsewhere.
+    async fn settle(&self, sent: &Sent) -> CallReply {
+        let until = sent.deadline + SETTLE_GRACE;
+        while self.shared.clock.now() < until {
+            let connection = match self.peers.connection(sent.address).await {
+                Ok(connection) => connection,
+                Err(ProtoError::PeerSilent(_)) if sent.idempotency == NonIdempotent => continue,
+                Err(_) => return may_have_run(),
+            };
+            let question = sent.question(true);
+            let answer = connection.client.fate(question, QUESTION_TIMEOUT).await;
+            let Ok(answer) = answer else {
+                self.peers.give_up(sent.address, connection.channel).await;
+                continue;
+            };
+            let age = self.shared.clock.now().duration_since(sent.drawn_at);
+            match fate_reply(answer).settle(age) {
+                Fate::AnswerGone => return ran_without_answer(),
+                Fate::MayHaveRun | Fate::NeverSeen => return may_have_run(),
+                Fate::NotRun => return CallReply::refused(Verdict::NotRun, Refusal::Fenced),
+                Fate::Ran(answer) => return Arc::unwrap_or_clone(answer),
+                Fate::Underway => tokio::time::sleep(UNDERWAY_CHECK).await,
+            }
+        }
+        may_have_run()
+    }
+
+    fn remaining(&self, deadline: Instant) -> Duration {
+        deadline.saturating_duration_since(self.shared.clock.now())
+    }
+}
+
+impl Sent {
+    fn question(&self, settle: bool) -> FateRequest {
+        FateRequest {
+            call_id: self.call_id.clone(),
+            channel: Some(self.channel),
+            settle,
+        }
+    }
+}
+
+fn may_have_run() -> CallReply {
+    CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed)
+}
+
+fn outcome(reply: &CallReply, elapsed: Duration, is_late: bool) -> CallOutcome {
+    match (reply.typed_verdict(), reply.refusal()) {
+        (Verdict::Ran, _) => CallOutcome::Answered { elapsed },
+        (Verdict::MayHaveRun, _) if is_late => CallOutcome::TimedOut { elapsed },
+        (Verdict::MayHaveRun, _) => CallOutcome::Lost,
+        (Verdict::NotRun, Refusal::UpstreamDown | Refusal::UpstreamMissing) => {
+            CallOutcome::UpstreamDown
+        }
+        (Verdict::NotRun, _) => CallOutcome::Refused,
+    }
+}
+
+fn ran_without_answer() -> CallReply {
+    CallReply {
+        verdict: WireVerdict::Ran.into(),
+        ..CallReply::default()
+    }
+}
+
+fn received(reply: Result<CallReply, Status>) -> Option<CallReply> {
+    reply
+        .inspect_err(|status| {
+            log::debug!(status = status.to_string().as_str(); "no reply came from a gate");
+        })
+        .ok()
+}
--- a/crates/daemon/src/http_reply.rs
+++ b/crates/daemon/src/http_reply.rs
@@ -31,6 +31,13 @@
         self
     }
 
+    /// Tells when to come back, in whole seconds as HTTP does and in milliseconds.
+    pub(crate) fn with_retry_after(self, retry_after_ms: u64) -> Self {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        self.with_header("retry-after", &seconds.to_string())
+            .with_header("medlarspool-retry-after-ms", &retry_after_ms.to_string())
+    }
+
     pub(crate) fn with_verdict(self, verdict: Verdict) -> Self {
         self.with_header("medlarspool-verdict", &verdict.to_string())
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,11 +3,15 @@
 //! It takes callers' requests as an entry, guards its own upstream as a gate, and keeps the
 //! configuration and the membership in actors on one thread. See `docs/design/daemon.md`.
 
+mod accept_nudge;
 mod administration;
 mod announcement;
 mod announcements;
 mod arguments;
 mod bounded_server;
+mod caller_reply;
+mod caller_request;
+mod choices;
 mod control;
 mod control_message;
 mod daemon;
@@ -16,16 +20,22 @@
 mod directory;
 mod entry;
 mod fleet_heads;
+mod fate_codec;
 mod gate;
+mod gate_queue;
+mod hop;
+mod hop_end;
 mod http_reply;
 mod local_upstream;
 mod membership_agent;
 mod membership_seeds;
 mod metrics;
+mod peer_connection;
 mod peer_edge;
 mod peer_pool;
 mod platform_job;
 mod platform_worker;
+mod refusal_codec;
 mod run;
 mod settings;
 mod shared;
@@ -33,10 +43,12 @@
 mod spread_apply;
 mod spread_options;
 mod spread_state;
+mod turn;
 mod upstream_client;
+mod upstream_end;
 mod upstream_record;
 
 pub use crate::{
-    announcement::Announcement, daemon::Daemon, daemon_error::DaemonError, run::run,
-    settings::Settings, spread_options::SpreadOptions,
+    accept_nudge::AcceptNudge, announcement::Announcement, daemon::Daemon,
+    daemon_error::DaemonError, run::run, settings::Settings, spread_options::SpreadOptions,
 };
--- a/crates/daemon/src/local_upstream.rs
+++ b/crates/daemon/src/local_upstream.rs
@@ -1,10 +1,8 @@
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
-use tokio::sync::Semaphore;
-
 use crate::Announcement;
 
 /// How long an announcement holds without being renewed.
@@ -16,37 +14,27 @@
     state: Mutex<Option<Announced>>,
 }
 
-/// An announcement with the lease it renews and the slots it offers.
-#[derive(Clone)]
-pub(crate) struct Announced {
-    pub(crate) announcement: Announcement,
-    pub(crate) renewed_at: Instant,
-    pub(crate) slots: Arc<Semaphore>,
+struct Announced {
+    announcement: Announcement,
+    renewed_at: Instant,
 }
 
 impl LocalUpstream {
     /// Takes a new or renewed announcement.
     pub(crate) fn announce(&self, announcement: Announcement, now: Instant) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let slots = state
-            .as_ref()
-            .filter(|announced| announced.announcement.slots == announcement.slots)
-            .map_or_else(
-                || Arc::new(Semaphore::new(announcement.slots as usize)),
-                |announced| Arc::clone(&announced.slots),
-            );
         *state = Some(Announced {
             announcement,
             renewed_at: now,
-            slots,
         });
     }
 
     /// Returns the upstream if its announcement has not lapsed.
-    pub(crate) fn current(&self, now: Instant) -> Option<Announced> {
+    pub(crate) fn current(&self, now: Instant) -> Option<Announcement> {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state
-            .clone()
+            .as_ref()
             .filter(|announced| now.duration_since(announced.renewed_at) < ANNOUNCEMENT_LEASE)
+            .map(|announced| announced.announcement.clone())
     }
 }
--- a/crates/daemon/src/peer_edge.rs
+++ b/crates/daemon/src/peer_edge.rs
@@ -1,12 +1,18 @@
 use std::{sync::Arc, time::Duration};
 
+use medlarspool_calls::{FateQuestion, QuestionKind};
 use medlarspool_proto::{
-    CallReply, CallRequest, FateRequest, PeerHandler, Refusal, TransferReply, TransferRequest,
+    CallReply, CallRequest, FateAnswer, FateRequest, PeerHandler, TransferReply, TransferRequest,
+    WireChannel,
 };
-use medlarspool_types::Verdict;
 use tokio::sync::oneshot;
 
-use crate::{control_message::ControlMessage, gate::Gate, shared::Shared};
+use crate::{
+    control_message::ControlMessage,
+    fate_codec::{call_id, channel_id, fate_answer, wire_channel},
+    gate::Gate,
+    shared::Shared,
+};
 
 /// When a peer comes back that asked a daemon which is stopping.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -22,8 +28,21 @@
         self.gate.call(request).await
     }
 
-    async fn fate(&self, _: FateRequest) -> CallReply {
-        CallReply::refused(Verdict::MayHaveRun, Refusal::None)
+    async fn fate(&self, request: FateRequest) -> FateAnswer {
+        let question = FateQuestion {
+            call: call_id(&request.call_id),
+            channel: channel_id(request.channel),
+            kind: if request.settle {
+                QuestionKind::Settle
+            } else {
+                QuestionKind::Inquire
+            },
+        };
+        fate_answer(self.gate.queue().ask(&question))
+    }
+
+    async fn open(&self) -> WireChannel {
+        wire_channel(self.gate.open_channel())
     }
 
     async fn transfer(&self, request: TransferRequest) -> TransferReply {
--- a/crates/daemon/src/spread_agent.rs
+++ b/crates/daemon/src/spread_agent.rs
@@ -55,7 +55,7 @@
             askers: HashMap::new(),
             core,
             next_ticket: 0,
-            peers: Arc::new(PeerPool::new(shared.key.clone(), runtime.clone())),
+            peers: Arc::new(PeerPool::new(shared.key.clone())),
             platform,
             runtime,
             shared,
@@ -177,10 +177,9 @@
             let request = TransferRequest {
                 base: base.map(Into::into),
             };
-            let reply = match peers.client(peer.address) {
-                Ok(client) => client.transfer(request, TRANSFER_TIMEOUT).await.ok(),
-                Err(_) => None,
-            };
+            let reply = peers
+                .transfer(peer.address, request, TRANSFER_TIMEOUT)
+                .await;
             let source = FetchSource::Peer(peer);
             let Some(reply) = reply else {
                 return tell_fetched(&shared, head, source, FetchOutcome::Failed);
--- a/crates/daemon/src/upstream_client.rs
+++ b/crates/daemon/src/upstream_client.rs
@@ -1,12 +1,17 @@
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
-use medlarspool_proto::{CallReply, CallRequest, Header, Refusal, WireVerdict};
-use medlarspool_types::Verdict;
+use medlarspool_calls::RequestContext;
+use medlarspool_proto::{CallReply, CallRequest, Header, WireVerdict};
 use ureq::{
     Agent,
     http::{Request, Response, Uri},
 };
 
+use crate::upstream_end::UpstreamEnd;
+
+/// The header that tells how long the caller still waits, in milliseconds.
+pub(crate) const REMAINING_HEADER: &str = "medlarspool-remaining-ms";
+
 /// Hop-by-hop headers, which concern one connection and are not passed on.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -30,6 +35,7 @@
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
+            .proxy(None)
             .max_idle_connections_per_host(64)
             .build();
         Self {
@@ -38,28 +44,32 @@
         }
     }
 
-    /// Runs a request at the upstream and returns its whole answer or what may have become of it.
+    /// Runs a request at the upstream; the context tells it how long its caller still waits.
     pub(crate) fn run(
         &self,
         address: SocketAddr,
         request: &CallRequest,
-        timeout: Duration,
-    ) -> CallReply {
-        let Some(http) = http_request(address, request) else {
-            return CallReply::refused(Verdict::NotRun, Refusal::UpstreamFailed);
+        context: &RequestContext,
+    ) -> UpstreamEnd {
+        let Some(http) = http_request(address, request, context) else {
+            return UpstreamEnd::NotSent;
         };
         let http = self
             .agent
             .configure_request(http)
-            .timeout_global(Some(timeout))
+            .timeout_global(Some(context.remaining))
             .build();
         match self.agent.run(http) {
+            Ok(response) if !has_known_end(&request.method, &response) => UpstreamEnd::Lost,
             Ok(response) => self.whole_answer(response),
-            Err(error) => failed(&error),
+            Err(error) => {
+                log::debug!(error = error.to_string().as_str(); "the upstream gave no answer");
+                failed(&error)
+            }
         }
     }
 
-    fn whole_answer(&self, mut response: Response<ureq::Body>) -> CallReply {
+    fn whole_answer(&self, mut response: Response<ureq::Body>) -> UpstreamEnd {
         let headers = passed_on(response.headers());
         let status = response.status().as_u16();
         let body = response
@@ -68,14 +78,14 @@
             .limit(self.max_body_bytes)
             .read_to_vec();
         match body {
-            Ok(body) => CallReply {
+            Ok(body) => UpstreamEnd::Answered(CallReply {
                 body,
                 headers,
                 status: status.into(),
                 verdict: WireVerdict::Ran.into(),
                 ..CallReply::default()
-            },
-            Err(_) => CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed),
+            }),
+            Err(_) => UpstreamEnd::Lost,
         }
     }
 }
@@ -85,18 +95,32 @@
     !HOP_BY_HOP_HEADERS.contains(&name)
 }
 
-fn failed(error: &ureq::Error) -> CallReply {
-    let verdict = match error {
-        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Verdict::NotRun,
+/// Tells a connection that never stood from one that may have carried the request.
+fn failed(error: &ureq::Error) -> UpstreamEnd {
+    match error {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect) => UpstreamEnd::NotSent,
         ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Verdict::NotRun
+            UpstreamEnd::NotSent
         }
-        _ => Verdict::MayHaveRun,
-    };
-    CallReply::refused(verdict, Refusal::UpstreamFailed)
+        _ => UpstreamEnd::Lost,
+    }
+}
+
+/// Returns whether the answer says where it ends; without that, one cut off looks like a whole one.
+fn has_known_end(method: &str, response: &Response<ureq::Body>) -> bool {
+    let status = response.status().as_u16();
+    let is_empty = method == "HEAD" || status == 204 || status == 304;
+    let headers = response.headers();
+    is_empty || headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
 }
 
-fn http_request(address: SocketAddr, request: &CallRequest) -> Option<Request<Vec<u8>>> {
+fn http_request(
+    address: SocketAddr,
+    request: &CallRequest,
+    context: &RequestContext,
+) -> Option<Request<Vec<u8>>> {
     let uri = Uri::builder()
         .scheme("http")
         .authority(address.to_string())
@@ -108,7 +132,8 @@
         builder = builder.header(&header.name, &header.value);
     }
     builder
-        .header("medlarspool-remaining-ms", request.remaining_ms)
+        .header(REMAINING_HEADER, context.remaining.as_millis().to_string())
+        .header(RequestContext::HEADER, context.to_string())
         .body(request.body.clone())
         .ok()
 }
--- a/crates/proto/src/call_reply.rs
+++ b/crates/proto/src/call_reply.rs
@@ -30,6 +30,9 @@
     /// Whether the request may have run.
     #[prost(enumeration = "WireVerdict", tag = "8")]
     pub verdict: i32,
+    /// The only instance whose gate runs this request, if it is suspected of crashing upstreams.
+    #[prost(string, tag = "9")]
+    pub home: String,
 }
 
 impl CallReply {
--- a/crates/proto/src/call_request.rs
+++ b/crates/proto/src/call_request.rs
@@ -1,6 +1,6 @@
 use prost::Message;
 
-use crate::{Header, WireHead};
+use crate::{Header, WireChannel, WireHead};
 
 /// One try of a caller's request, handed from an entry to a gate.
 #[derive(Clone, Eq, Message, PartialEq)]
@@ -8,9 +8,9 @@
     /// The version by which the entry admitted the request.
     #[prost(message, optional, tag = "1")]
     pub admitted_by: Option<WireHead>,
-    /// Tries that the request may still make anywhere below this call.
-    #[prost(uint32, tag = "2")]
-    pub attempts_left: u32,
+    /// The channel that the try is sent over; the gate refuses it once that is closed.
+    #[prost(message, optional, tag = "2")]
+    pub channel: Option<WireChannel>,
     /// The whole body.
     #[prost(bytes = "vec", tag = "3")]
     pub body: Vec<u8>,
@@ -38,10 +38,10 @@
     /// What is left of the caller's deadline, in milliseconds.
     #[prost(uint64, tag = "11")]
     pub remaining_ms: u64,
+    /// The share of a retry that the hops below may save up, in thousandths.
+    #[prost(uint32, tag = "12")]
+    pub retry_per_mille: u32,
     /// The service.
-    #[prost(string, tag = "12")]
+    #[prost(string, tag = "13")]
     pub service: String,
-    /// The gate's incarnation as the entry knows it, so that a restarted gate is told apart.
-    #[prost(uint64, tag = "13")]
-    pub gate_incarnation: u64,
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -4,7 +4,9 @@
 
 mod call_reply;
 mod call_request;
+mod channel_request;
 mod datagram;
+mod fate_answer;
 mod fate_request;
 mod fleet_key;
 mod header;
@@ -28,13 +30,17 @@
 mod spread_payload;
 mod transfer_reply;
 mod transfer_request;
+mod wire_channel;
+mod wire_fate;
 mod wire_head;
 mod wire_verdict;
 
 pub use crate::{
     call_reply::CallReply,
     call_request::CallRequest,
+    channel_request::ChannelRequest,
     datagram::Datagram,
+    fate_answer::FateAnswer,
     fate_request::FateRequest,
     fleet_key::FleetKey,
     header::Header,
@@ -61,6 +67,8 @@
     spread_payload::{SpreadPayload, read_updates},
     transfer_reply::TransferReply,
     transfer_request::TransferRequest,
+    wire_channel::WireChannel,
+    wire_fate::WireFate,
     wire_head::WireHead,
     wire_verdict::WireVerdict,
 };
--- a/crates/proto/src/peer_client.rs
+++ b/crates/proto/src/peer_client.rs
@@ -11,8 +11,8 @@
 use tonic_prost::ProstCodec;
 
 use crate::{
-    CallReply, CallRequest, FateRequest, FleetKey, MAX_MESSAGE_BYTES, ProtoError, TransferReply,
-    TransferRequest, peer_server::TOKEN_HEADER,
+    CallReply, CallRequest, ChannelRequest, FateAnswer, FateRequest, FleetKey, MAX_MESSAGE_BYTES,
+    ProtoError, TransferReply, TransferRequest, WireChannel, peer_server::TOKEN_HEADER,
 };
 
 /// How often an idle connection is asked for a sign of life.
@@ -21,7 +21,7 @@
 /// How long the sign of life may take before the connection counts as silent.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// One connection to a peer, made when it is first used and made again when it is found silent.
+/// One connection to a peer, which asks for a sign of life and breaks when it is found silent.
 #[derive(Clone)]
 pub struct PeerClient {
     channel: Channel,
@@ -29,12 +29,16 @@
 }
 
 impl PeerClient {
-    /// Returns a client for the peer at an address; must be called within a tokio runtime.
+    /// Connects to the peer at an address.
+    ///
+    /// Since it returns only once the connection stands, a request that failed before was certainly
+    /// not sent.
     ///
     /// # Errors
     ///
-    /// Returns [`ProtoError::PeerAddress`] if the address can't stand in a URI.
-    pub fn new(
+    /// Returns [`ProtoError::PeerAddress`] if the address can't stand in a URI, and
+    /// [`ProtoError::PeerConnection`] if the peer can't be connected to in time.
+    pub async fn connect(
         address: SocketAddr,
         key: &FleetKey,
         connect_timeout: Duration,
@@ -47,10 +51,11 @@
             .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
             .tcp_nodelay(true);
         let token = MetadataValue::try_from(key.token()).map_err(|_| refused())?;
-        Ok(Self {
-            channel: endpoint.connect_lazy(),
-            token,
-        })
+        let channel = endpoint
+            .connect()
+            .await
+            .map_err(|_| ProtoError::PeerConnection(address.to_string()))?;
+        Ok(Self { channel, token })
     }
 
     /// Hands one try to the peer's gate.
@@ -67,7 +72,11 @@
     /// # Errors
     ///
     /// Returns tonic's status if no reply came.
-    pub async fn fate(&self, request: FateRequest, timeout: Duration) -> Result<CallReply, Status> {
+    pub async fn fate(
+        &self,
+        request: FateRequest,
+        timeout: Duration,
+    ) -> Result<FateAnswer, Status> {
         self.unary("/medlarspool.Peer/Fate", request, timeout).await
     }
 
@@ -85,6 +94,16 @@
             .await
     }
 
+    /// Asks the peer's gate for the channel of this connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns tonic's status if no reply came.
+    pub async fn open(&self, timeout: Duration) -> Result<WireChannel, Status> {
+        self.unary("/medlarspool.Peer/Open", ChannelRequest {}, timeout)
+            .await
+    }
+
     async fn unary<In, Out>(
         &self,
         path: &'static str,
--- a/crates/proto/src/peer_handler.rs
+++ b/crates/proto/src/peer_handler.rs
@@ -1,6 +1,8 @@
 use std::future::Future;
 
-use crate::{CallReply, CallRequest, FateRequest, TransferReply, TransferRequest};
+use crate::{
+    CallReply, CallRequest, FateAnswer, FateRequest, TransferReply, TransferRequest, WireChannel,
+};
 
 /// What a daemon does for its peers; implemented at the daemon's edge.
 pub trait PeerHandler: Send + Sync + 'static {
@@ -11,5 +13,8 @@
     fn transfer(&self, request: TransferRequest) -> impl Future<Output = TransferReply> + Send;
 
     /// Says what became of an earlier try.
-    fn fate(&self, request: FateRequest) -> impl Future<Output = CallReply> + Send;
+    fn fate(&self, request: FateRequest) -> impl Future<Output = FateAnswer> + Send;
+
+    /// Opens a channel for a new connection.
+    fn open(&self) -> impl Future<Output = WireChannel> + Send;
 }
--- a/crates/proto/src/peer_server.rs
+++ b/crates/proto/src/peer_server.rs
@@ -9,7 +9,7 @@
 };
 use tonic_prost::ProstCodec;
 
-use crate::{FleetKey, MAX_MESSAGE_BYTES, PeerHandler};
+use crate::{ChannelRequest, FleetKey, MAX_MESSAGE_BYTES, PeerHandler};
 
 /// The header that carries the fleet's token.
 pub(crate) const TOKEN_HEADER: &str = "medlarspool-fleet-token";
@@ -71,6 +71,10 @@
                 let handler = Arc::clone(&handler);
                 async move { handler.fate(message).await }
             }),
+            "/medlarspool.Peer/Open" => unary(request, move |_: ChannelRequest| {
+                let handler = Arc::clone(&handler);
+                async move { handler.open().await }
+            }),
             "/medlarspool.Peer/Transfer" => unary(request, move |message| {
                 let handler = Arc::clone(&handler);
                 async move { handler.transfer(message).await }
--- a/crates/proto/src/proto_error.rs
+++ b/crates/proto/src/proto_error.rs
@@ -17,6 +17,10 @@
     PayloadMissing,
     /// `{0}` is not an address that a daemon can be reached at
     PeerAddress(String),
+    /// the peer at `{0}` can't be connected to
+    PeerConnection(String),
+    /// the peer at `{0}` was connected to and stays silent
+    PeerSilent(String),
 }
 
 impl std::error::Error for ProtoError {}
--- a/crates/proto/src/refusal.rs
+++ b/crates/proto/src/refusal.rs
@@ -1,5 +1,7 @@
+use displaydoc::Display;
+
 /// Why a gate gave no answer of its upstream.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
 #[repr(i32)]
 pub enum Refusal {
     /// The request was not refused.
@@ -26,4 +28,14 @@
     UpstreamFailed = 10,
     /// No upstream of the service is announced beside this gate.
     UpstreamMissing = 11,
+    /// The channel that brought the request is closed.
+    ChannelClosed = 12,
+    /// The idempotency key was used with another request.
+    KeyConflict = 13,
+    /// The idempotency key is past its lifetime or ahead of its time.
+    KeyExpired = 14,
+    /// The request is suspected of crashing upstreams and runs only at one gate, one at a time.
+    Suspected = 15,
+    /// The upstream can't be connected to.
+    UpstreamDown = 16,
 }
