Keep versions as patches between checkpoints

bench of commits counts bytes and lets operators race. 50 tries instead of 20. Old versions are never deleted yet.

--- /dev/null
+++ b/crates/bench/benches/commit.rs
@@ -0,0 +1,179 @@
+//! What a change costs the platform and the one who reads it, and how racing operators fare.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use medlarspool_bench::{MeteredPlatform, SampleLists};
+use medlarspool_config::{EntryChange, ListsPatch, Snapshot};
+use medlarspool_platform::{
+    Change, CommitError, CommitOutcome, commit, read_head, read_lists, read_snapshot,
+};
+use medlarspool_types::ConfigVersion;
+
+const CHANGES: u32 = 202;
+const CHANGES_A_DAY: f64 = 12_000.0;
+const CHANGES_EACH: usize = 20;
+const CUSTOMERS: [usize; 3] = [1_000, 10_000, 100_000];
+const DAY_SECONDS: f64 = 86_400.0;
+/// A tenth of about 2,000 reads a second.
+const MAX_READS_PER_SECOND: f64 = 200.0;
+/// A tenth of several hundred writes a second.
+const MAX_WRITES_PER_SECOND: f64 = 30.0;
+const OPERATORS: [usize; 3] = [1, 4, 16];
+const SEED: u64 = 13;
+
+fn main() {
+    let mut missed = Vec::new();
+    for customers in CUSTOMERS {
+        missed.extend(measure_changes(customers));
+    }
+    for operators in OPERATORS {
+        missed.extend(measure_race(operators));
+    }
+    if missed.is_empty() {
+        println!("bound: held");
+        return;
+    }
+    println!("bound: missed {}", missed.join(" "));
+    std::process::exit(1);
+}
+
+/// Commits changes one after the other and follows them as a daemon does.
+fn measure_changes(customers: usize) -> Vec<String> {
+    let platform = MeteredPlatform::default();
+    let mut sample = SampleLists::new(customers, SEED);
+    commit(&platform, &change("first", 0, &sample)).expect("first");
+    let mut held = follow(&platform, None);
+    let (counts, written) = (platform.platform.counts(), platform.written_bytes());
+    let mut commits = Histogram::<u64>::new(3).expect("three digits");
+    let mut follow_bytes = 0;
+    let mut whole_bytes = 0;
+    for number in 1..=CHANGES {
+        sample.change(1);
+        let asked = change(&number.to_string(), u64::from(number), &sample);
+        let start = Instant::now();
+        commit(&platform, &asked).expect("accepted");
+        commits += micros(start.elapsed());
+        let before = platform.read_bytes();
+        follow(&platform, None);
+        whole_bytes += platform.read_bytes() - before;
+        let before = platform.read_bytes();
+        held = follow(&platform, Some(&held));
+        follow_bytes += platform.read_bytes() - before;
+    }
+    let written = (platform.written_bytes() - written) / u64::from(CHANGES);
+    let writes = ratio(
+        platform.platform.counts().writes - counts.writes,
+        u64::from(CHANGES),
+    );
+    println!("written_each_{customers}_customers {written} bytes");
+    println!("writes_each_{customers}_customers {writes:.2} count");
+    println!(
+        "follow_each_{customers}_customers {} bytes",
+        follow_bytes / u64::from(CHANGES)
+    );
+    println!(
+        "whole_each_{customers}_customers {} bytes",
+        whole_bytes / u64::from(CHANGES)
+    );
+    println!(
+        "commit_{customers}_customers_p50 {} us",
+        commits.value_at_quantile(0.5)
+    );
+    println!(
+        "commit_{customers}_customers_p99 {} us",
+        commits.value_at_quantile(0.99)
+    );
+    let per_second = writes * CHANGES_A_DAY / DAY_SECONDS;
+    println!("writes_{customers}_customers_at_12000_a_day {per_second:.3} per_second");
+    let too_many = per_second > MAX_WRITES_PER_SECOND;
+    too_many
+        .then(|| format!("writes_{customers}"))
+        .into_iter()
+        .collect()
+}
+
+/// Lets operators commit edits of their own customers at the same time.
+fn measure_race(operators: usize) -> Vec<String> {
+    let platform = MeteredPlatform::default();
+    let sample = SampleLists::new(1_000, SEED);
+    commit(&platform, &change("first", 0, &sample)).expect("first");
+    let before = platform.platform.counts();
+    let outcomes: Vec<_> = std::thread::scope(|scope| {
+        let threads = (0..operators).map(|operator| {
+            let platform = &platform;
+            scope.spawn(move || operate(platform, operator))
+        });
+        let threads: Vec<_> = threads.collect();
+        threads
+            .into_iter()
+            .flat_map(|thread| thread.join().expect("operator"))
+            .collect()
+    });
+    let accepted = outcomes.iter().filter(|outcome| outcome.is_ok()).count();
+    let reads = platform.platform.counts().reads - before.reads;
+    let head = read_head(&platform).expect("read").unwrap_or_default();
+    println!("race_{operators}_operators_accepted {accepted} count");
+    println!(
+        "race_{operators}_operators_told_to_try_again {} count",
+        outcomes.len() - accepted
+    );
+    println!(
+        "race_{operators}_operators_reads_each {} count",
+        reads / outcomes.len() as u64
+    );
+    let per_second = ratio(reads, outcomes.len() as u64) * CHANGES_A_DAY / DAY_SECONDS;
+    println!("race_{operators}_operators_reads_at_12000_a_day {per_second:.2} per_second");
+    let mut missed = Vec::new();
+    if head.version.0 != accepted as u64 + 1 {
+        missed.push(format!("one_version_each_{operators}"));
+    }
+    if per_second > MAX_READS_PER_SECOND {
+        missed.push(format!("reads_{operators}"));
+    }
+    missed
+}
+
+fn operate(platform: &MeteredPlatform, operator: usize) -> Vec<Result<CommitOutcome, CommitError>> {
+    let edits = (0..CHANGES_EACH).map(|number| {
+        let head = read_head(platform).expect("read").expect("head");
+        let lists = read_lists(platform, head).expect("lists");
+        let customer = format!("customer-{:06}", operator * CHANGES_EACH + number);
+        let remove = EntryChange::RemoveCustomer(customer.parse().expect("id"));
+        let asked = Change {
+            asked_at_ms: 0,
+            base: head.version,
+            id: format!("{operator}-{number}").parse().expect("id"),
+            lists: ListsPatch::new([remove]).apply(&lists).expect("lists"),
+            operator: operator.to_string(),
+            sent_before: false,
+        };
+        commit(platform, &asked)
+    });
+    edits.collect()
+}
+
+fn change(id: &str, base: u64, sample: &SampleLists) -> Change {
+    Change {
+        asked_at_ms: 0,
+        base: ConfigVersion(base),
+        id: id.parse().expect("id"),
+        lists: sample.lists(),
+        operator: "operator".into(),
+        sent_before: false,
+    }
+}
+
+fn follow(platform: &MeteredPlatform, base: Option<&Snapshot>) -> Snapshot {
+    let head = read_head(platform).expect("read").expect("head");
+    read_snapshot(platform, base, head).expect("snapshot")
+}
+
+fn ratio(count: u64, of: u64) -> f64 {
+    let number = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    number(count) / number(of)
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -41,6 +41,7 @@
 mod membership_pair;
 mod membership_run;
 mod membership_traffic;
+mod metered_platform;
 mod overnight_callers;
 mod overnight_fault;
 mod overnight_kind;
@@ -99,6 +100,7 @@
     membership_pair::{MembershipPair, fill, member},
     membership_run::MembershipRun,
     membership_traffic::MembershipTraffic,
+    metered_platform::MeteredPlatform,
     overnight_callers::OvernightCallers,
     overnight_fault::OvernightFault,
     overnight_kind::OvernightKind,
--- a/crates/config/src/entry_change.rs
+++ b/crates/config/src/entry_change.rs
@@ -1,9 +1,11 @@
 use medlarspool_types::{CustomerId, PlanId, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use crate::{CustomerEntry, EntryKey, PlanEntry, ServiceEntry};
 
 /// One entry that is put in place of whatever stands under its key, or removed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum EntryChange {
     /// A customer is added or replaced.
     PutCustomer(CustomerEntry),
--- a/crates/config/src/lists_patch.rs
+++ b/crates/config/src/lists_patch.rs
@@ -1,12 +1,15 @@
 use std::{collections::BTreeMap, sync::Arc};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     ConfigError, EntryChange, EntryKey, Lists, PlanEntry, ServiceEntry, check,
     customer_pages::CustomerPages, lists, page_order::PageKey,
 };
 
 /// The entries in which two lists differ, in the order of their keys.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "Vec<EntryChange>", into = "Vec<EntryChange>")]
 pub struct ListsPatch(Vec<EntryChange>);
 
 impl ListsPatch {
@@ -150,6 +153,18 @@
     }
 }
 
+impl From<ListsPatch> for Vec<EntryChange> {
+    fn from(patch: ListsPatch) -> Self {
+        patch.0
+    }
+}
+
+impl From<Vec<EntryChange>> for ListsPatch {
+    fn from(changes: Vec<EntryChange>) -> Self {
+        Self::new(changes)
+    }
+}
+
 /// Finds a customer whose plan a patch has removed.
 fn check_customers(customers: &CustomerPages, plans: &[PlanEntry]) -> Result<(), ConfigError> {
     let mut customers = customers.iter();
--- a/crates/daemon/src/platform_worker.rs
+++ b/crates/daemon/src/platform_worker.rs
@@ -6,8 +6,9 @@
     thread::JoinHandle,
 };
 
+use medlarspool_config::Lists;
 use medlarspool_membership::SeedRow;
-use medlarspool_platform::{Platform, PlatformError, read_head, read_lists};
+use medlarspool_platform::{Platform, PlatformError, read_head, read_snapshot};
 use medlarspool_spread::{FetchOutcome, FetchSource, SpreadEvent};
 use medlarspool_types::{AvailabilityZone, ConfigHead};
 
@@ -74,8 +75,9 @@
 
     fn read_lists(&self, head: ConfigHead) {
         self.shared.metrics.store_reads.inc();
-        let outcome = match read_lists(self.platform.as_ref(), head) {
-            Ok(lists) => spread_apply::take_lists(&self.shared, head, lists),
+        let base = self.shared.serving();
+        let outcome = match read_snapshot(self.platform.as_ref(), base.as_deref(), head) {
+            Ok(next) => spread_apply::take_lists(&self.shared, head, Lists::clone(next.lists())),
             Err(error) => {
                 self.count_failure(&error);
                 FetchOutcome::Failed
--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -7,19 +7,23 @@
     Change, ChangeFate, ChangeRecord, CommitError, CommitOutcome, Platform, PlatformError,
     RowCondition, RowWrite,
     history::{self, HEAD_KEY, json},
+    version_lists::VersionLists,
+    version_row::VersionRow,
     withdraw::withdraw,
 };
 
 /// The most tries to write one object.
 const MAX_OBJECT_TRIES: u32 = 3;
+/// The largest patch that a version's row holds, in bytes of JSON.
+const MAX_PATCH_BYTES: usize = 16 * 1024;
 /// The most transactions of one change that may get no answer before the outcome is called unknown.
 const MAX_LOST_ANSWERS: u32 = 3;
 
 /// One change on its way.
 pub(crate) struct Attempt<'change> {
     change: &'change Change,
-    /// The lists that were read last, since head's are often the base's.
-    last_read: Option<(ConfigHead, Lists)>,
+    /// The version that was read last, since head is often the base.
+    last_read: Option<VersionLists>,
     lost_answers: u32,
     platform: &'change dyn Platform,
     unsettled: Option<Unsettled>,
@@ -75,7 +79,9 @@
             }
             None => self.forget_overtaken(head.condition),
         }
-        let current = self.lists_at(head.head)?;
+        let version = self.version(head.head.version)?;
+        let checkpoint = version.as_ref().map(|version| version.row.checkpoint);
+        let current = version.map(|version| version.lists).unwrap_or_default();
         self.refuse_overlap(base, patch, &current, head.head.version)?;
         let next = match patch.apply(&current) {
             Ok(next) => next,
@@ -84,7 +90,8 @@
         if next == current && head.head.version != ConfigVersion::NONE {
             return Ok(Some(CommitOutcome::Unchanged { head: head.head }));
         }
-        self.write(&head, &next)
+        let patch = ListsPatch::between(&current, &next);
+        self.write(&head, &next, checkpoint, patch)
     }
 
     /// Makes the last word on the change a true one: what may yet take effect is withdrawn first.
@@ -125,7 +132,13 @@
         }
     }
 
-    fn write(&mut self, head: &Head, next: &Lists) -> Result<Option<CommitOutcome>, CommitError> {
+    fn write(
+        &mut self,
+        head: &Head,
+        next: &Lists,
+        checkpoint: Option<ConfigHead>,
+        patch: ListsPatch,
+    ) -> Result<Option<CommitOutcome>, CommitError> {
         let record = ChangeRecord {
             asked_at_ms: self.change.asked_at_ms,
             base: self.change.base,
@@ -136,13 +149,13 @@
             },
             operator: self.change.operator.clone(),
         };
-        let name = history::object_name(record.head.digest);
-        self.store(&name, &next.encode())?;
-        match self
-            .platform
-            .transact(&transaction(head.condition, &record))
-        {
-            Ok(()) => Ok(Some(self.accepted(&record))),
+        let row = version_row(record, checkpoint, patch);
+        if row.is_checkpoint() {
+            let name = history::object_name(row.checkpoint.digest);
+            self.store(&name, &next.encode())?;
+        }
+        match self.platform.transact(&transaction(head.condition, &row)) {
+            Ok(()) => Ok(Some(self.accepted(&row.record))),
             Err(PlatformError::Conflict { .. }) => Ok(None),
             Err(reason @ PlatformError::OutcomeUnknown(_)) => self.lost(head.condition, reason),
             Err(error) => Err(failed(error)),
@@ -197,26 +210,23 @@
     }
 
     fn lists_of(&mut self, version: ConfigVersion) -> Result<Lists, CommitError> {
-        if version == ConfigVersion::NONE {
-            return Ok(Lists::default());
-        }
-        let record = history::read_version(self.platform, version).map_err(failed)?;
-        let record = record.ok_or(CommitError::UnknownVersion(version))?;
-        self.lists_at(record.head)
+        let found = self.version(version)?;
+        Ok(found.map(|found| found.lists).unwrap_or_default())
     }
 
-    fn lists_at(&mut self, head: ConfigHead) -> Result<Lists, CommitError> {
-        if head.version == ConfigVersion::NONE {
-            return Ok(Lists::default());
+    /// Reads a version; `None` stands for the empty lists before the first.
+    fn version(&mut self, version: ConfigVersion) -> Result<Option<VersionLists>, CommitError> {
+        if version == ConfigVersion::NONE {
+            return Ok(None);
         }
-        if let Some((last, lists)) = &self.last_read
-            && *last == head
+        if let Some(last) = &self.last_read
+            && last.row.record.head.version == version
         {
-            return Ok(lists.clone());
+            return Ok(Some(last.clone()));
         }
-        let lists = history::read_lists(self.platform, head).map_err(failed)?;
-        self.last_read = Some((head, lists.clone()));
-        Ok(lists)
+        let found = history::read_version_lists(self.platform, version).map_err(failed)?;
+        self.last_read = Some(found.ok_or(CommitError::UnknownVersion(version))?);
+        Ok(self.last_read.clone())
     }
 
     /// Refuses if an entry of the patch was changed by others since its base, to something else.
@@ -309,7 +319,26 @@
     }
 }
 
-fn transaction(condition: RowCondition, record: &ChangeRecord) -> [RowWrite; 3] {
+/// Keeps a version as its patch if that is small and a checkpoint is near, else as a checkpoint.
+fn version_row(
+    record: ChangeRecord,
+    checkpoint: Option<ConfigHead>,
+    patch: ListsPatch,
+) -> VersionRow {
+    let patch = Some(patch).filter(|patch| json(patch).len() <= MAX_PATCH_BYTES);
+    let near = |checkpoint: &ConfigHead| {
+        record.head.version.0 - checkpoint.version.0 <= history::MAX_PATCHES
+    };
+    let checkpoint = checkpoint.filter(|checkpoint| patch.is_some() && near(checkpoint));
+    VersionRow {
+        checkpoint: checkpoint.unwrap_or(record.head),
+        patch,
+        record,
+    }
+}
+
+fn transaction(condition: RowCondition, row: &VersionRow) -> [RowWrite; 3] {
+    let record = &row.record;
     [
         RowWrite {
             condition,
@@ -324,7 +353,7 @@
         RowWrite {
             condition: RowCondition::Absent,
             key: history::version_key(record.head.version),
-            value: Some(json(record)),
+            value: Some(json(row)),
         },
     ]
 }
--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -4,7 +4,7 @@
 
 /// The most tries of one change; each lost one means that another operator's change won or that
 /// an answer was lost.
-const MAX_TRIES: u32 = 20;
+const MAX_TRIES: u32 = 50;
 
 /// Commits a change: its lists as an object, then one transaction that moves head and inserts the
 /// change's rows.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,8 @@
 mod row_write;
 mod table_batch;
 mod table_key;
+mod version_lists;
+mod version_row;
 mod withdraw;
 
 pub use crate::{
@@ -35,7 +37,7 @@
     fake_counts::FakeCounts,
     fake_faults::FakeFaults,
     fake_platform::FakePlatform,
-    history::{read_change, read_head, read_lists, read_version, versions},
+    history::{read_change, read_head, read_lists, read_snapshot, read_version, versions},
     http_platform::HttpPlatform,
     platform::Platform,
     platform_error::PlatformError,
