Name line, field and value of bad settings, and show no secret

Cause: the YAML library's picture of a fault showed the lines around it, and so the fleet's key and the tokens; some faults named no value.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,6 +38,7 @@
 mod refusal_codec;
 mod run;
 mod settings;
+mod settings_fault;
 mod shared;
 mod spread_agent;
 mod spread_apply;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{DaemonError, SpreadOptions};
+use crate::{DaemonError, SpreadOptions, settings_fault};
 
 /// Everything that a daemon is told from outside, read once from a YAML file.
 ///
@@ -85,18 +85,22 @@
     ///
     /// Returns what was refused and where it stands.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let settings: Self = serde_saphyr::from_str(text).map_err(|error| error.to_string())?;
-        settings.check()?;
+        let settings: Self =
+            serde_saphyr::from_str(text).map_err(|error| settings_fault::describe(text, &error))?;
+        settings.check(text)?;
         Ok(settings)
     }
 
-    fn check(&self) -> Result<(), String> {
-        FleetKey::derive(&self.fleet_key).map_err(|error| format!("field fleet_key: {error}"))?;
+    fn check(&self, text: &str) -> Result<(), String> {
+        let refused = |field, reason: &str| settings_fault::describe_field(text, field, reason);
+        if FleetKey::derive(&self.fleet_key).is_err() {
+            return Err(refused("fleet_key", "shorter than 16 characters"));
+        }
         if self.operator_token.is_empty() {
-            return Err("field operator_token: `` is empty".into());
+            return Err(refused("operator_token", "empty"));
         }
         if self.worker_threads == 0 {
-            return Err("field worker_threads: `0` leaves no worker for callers".into());
+            return Err(refused("worker_threads", "leaves no worker for callers"));
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/daemon/src/settings_fault.rs
@@ -0,0 +1,43 @@
+/// Fields whose value is never shown.
+const SECRET_FIELDS: [&str; 3] = ["fleet_key", "operator_token", "platform_token"];
+
+/// What is shown in place of a secret.
+const HIDDEN: &str = "(hidden)";
+
+/// Describes what was refused in a settings file: the line, the field and the value in backticks.
+///
+/// The YAML library's own picture of the lines around would show secrets, so it is left out.
+pub(crate) fn describe(text: &str, error: &serde_saphyr::Error) -> String {
+    let error = error.without_snippet();
+    let reason = error.to_string();
+    let line = error.location().map_or(0, |location| location.line());
+    let number = usize::try_from(line).unwrap_or(0);
+    let Some(written) = number.checked_sub(1).and_then(|at| text.lines().nth(at)) else {
+        return reason;
+    };
+    let (field, value) = split(written);
+    if reason.contains("missing field") {
+        return reason;
+    }
+    format!("line {line}: field `{field}`: value `{value}`: {reason}")
+}
+
+/// Describes a value that can be read but not used.
+pub(crate) fn describe_field(text: &str, field: &str, reason: &str) -> String {
+    let written = |line: &&str| split(line).0 == field;
+    let at = text.lines().position(|line| written(&line));
+    let value = at.and_then(|at| text.lines().nth(at)).map(split);
+    let line = at.map_or(0, |at| at + 1);
+    let (_, value) = value.unwrap_or((field, HIDDEN));
+    format!("line {line}: field `{field}`: value `{value}`: {reason}")
+}
+
+/// Returns the field and the value of a line, the value hidden if it is a secret.
+fn split(line: &str) -> (&str, &str) {
+    let (field, value) = line.split_once(':').unwrap_or((line, ""));
+    let field = field.trim().trim_matches('"');
+    if SECRET_FIELDS.contains(&field) {
+        return (field, HIDDEN);
+    }
+    (field, value.trim())
+}
