--- a/crates/daemon/src/administration.rs
+++ b/crates/daemon/src/administration.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tiny_http::Request;
 
 use crate::{control_message::ControlMessage, http_reply::HttpReply, shared::Shared};
@@ -28,8 +28,7 @@
             _ if !self.authorised(&request) => {
                 HttpReply::text(401, "the operators' token is missing or wrong\n")
             }
-            "/dump" => HttpReply::json(200, &self.dump()),
-            "/members" => self.ask_control(ControlMessage::DumpMembers),
+            "/dump" => self.dump(),
             "/metrics" => HttpReply {
                 body: self.shared.metrics.text(),
                 headers: Vec::new(),
@@ -49,34 +48,34 @@
             .any(|header| header.field.equiv("authorization") && header.value.as_str() == expected)
     }
 
-    fn dump(&self) -> serde_json::Value {
+    /// Returns every table of state that the process keeps, and no secret.
+    fn dump(&self) -> HttpReply {
         let shared = &self.shared;
-        json!({
+        let dump = json!({
             "availability_zone": shared.settings.availability_zone,
             "config": shared.held(),
             "directory": **shared.directory.load(),
             "draining": shared.is_draining(),
             "incarnation": shared.incarnation,
             "instance": shared.settings.instance,
+            "membership": self.ask_control(ControlMessage::DumpMembers),
             "region": shared.settings.region,
             "spread": {
                 "announced": shared.spread.load().announced,
                 "counters": shared.spread.load().counters,
                 "readiness": shared.spread.load().readiness.to_string(),
             },
-        })
+        });
+        HttpReply::json(200, &dump)
     }
 
     fn ask_control(
         &self,
-        question: impl FnOnce(mpsc::Sender<serde_json::Value>) -> ControlMessage,
-    ) -> HttpReply {
+        question: impl FnOnce(mpsc::Sender<Value>) -> ControlMessage,
+    ) -> Option<Value> {
         let (asker, answer) = mpsc::channel();
         self.shared.tell_control(question(asker));
-        match answer.recv_timeout(ANSWER_TIMEOUT) {
-            Ok(value) => HttpReply::json(200, &value),
-            Err(_) => HttpReply::text(503, "the control thread does not answer\n"),
-        }
+        answer.recv_timeout(ANSWER_TIMEOUT).ok()
     }
 
     fn ready(&self) -> HttpReply {
@@ -92,6 +91,9 @@
     fn status(&self) -> HttpReply {
         self.shared.tell_control(ControlMessage::AskHeads);
         std::thread::sleep(HEADS_PATIENCE);
-        self.ask_control(ControlMessage::Status)
+        match self.ask_control(ControlMessage::Status) {
+            Some(status) => HttpReply::json(200, &status),
+            None => HttpReply::text(503, "the control thread does not answer\n"),
+        }
     }
 }
