Ask the dump for the members in the tests of spreading

Cause: the page /members became a part of /dump. Change: the tests read the same number there; nothing else changes.

--- a/crates/bench/tests/spread_processes.rs
+++ b/crates/bench/tests/spread_processes.rs
@@ -40,7 +40,7 @@
 
     /// Returns how many daemons a daemon believes alive.
     fn living(&self, at: usize) -> Option<u64> {
-        self.ask(at, "members")?["living"].as_u64()
+        self.ask(at, "dump")?["membership"]["living"].as_u64()
     }
 
     /// Accepts the lists of a version, which differ from those before.
