Open the callers' address before the others

Cause: a test that had announced an upstream was refused a connection by the callers' address, which the daemon opened last; seen once under load. Change: callers first, then announcements, then administration, so that an answer from a later one says that the earlier ones are open. Conclusion: /healthz now says that everything listens.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -86,10 +86,14 @@
         ];
         let (peers_stop, stopped) = oneshot::channel();
         let peers = serve_peers(&runtime, &shared, &gate, stopped)?;
+        // Callers first: whoever reaches the other two addresses finds the callers' one open, too.
+        let callers = start_callers(&shared, &calls, Arc::clone(&gate), runtime.handle())?;
+        let announcements = start_announcements(&shared)?;
+        let administration = start_administration(&shared)?;
         let daemon = Self {
-            administration: start_administration(&shared)?,
-            announcements: start_announcements(&shared)?,
-            callers: start_callers(&shared, &calls, Arc::clone(&gate), runtime.handle())?,
+            administration,
+            announcements,
+            callers,
             control,
             gate,
             peers,
