Tighten what ships for control bytes, and fetch when a call shows a newer version

A gate that a newer version reached by a call waited for the push only. The baseline drew its intervals like the budget and so looked worse than it is. Change: control_bytes hands on to 3 and compares notes every second; a call's newer version starts the search; polling spreads evenly again; noticers read what changed since, as the store now offers; the bench counts who was reached and waits for readiness, and times real processes.

--- a/crates/bench/benches/convergence.rs
+++ b/crates/bench/benches/convergence.rs
@@ -6,13 +6,16 @@
 
 use medlarspool_bench::{
     ConvergenceFleet, ConvergenceLayout, ConvergenceRun, ConvergenceWay, Figures, LinearFit,
+    convergence_processes, program_paths,
 };
 use medlarspool_spread::{SpreadMode, SpreadPreference, SpreadSettings};
 
 const CURVE_DAEMONS: usize = 100;
-const CURVE_DIGEST_INTERVALS_MS: [u64; 2] = [500, 2_000];
-const CURVE_FAN_OUTS: [usize; 4] = [1, 2, 4, 6];
+const CURVE_DIGEST_INTERVALS_MS: [u64; 3] = [500, 1_000, 2_000];
+const CURVE_FAN_OUTS: [usize; 4] = [1, 2, 3, 4];
 const FAULT_DAEMONS: usize = 100;
+/// The sizes of the fleets of real processes.
+const PROCESSES: [usize; 2] = [50, 200];
 const SEED: u64 = 7;
 const SIZES: [usize; 4] = [25, 50, 100, 200];
 const TODAY_DAEMONS: usize = 18;
@@ -27,7 +30,11 @@
         .worker_threads(4)
         .enable_all()
         .build()?;
-    let figures = runtime.block_on(measure())?;
+    let mut figures = runtime.block_on(measure())?;
+    for daemons in PROCESSES {
+        let part = convergence_processes(program_paths!(), daemons).map_err(io::Error::other)?;
+        figures.print_and_extend(part);
+    }
     Ok(if figures.print_bound() {
         ExitCode::SUCCESS
     } else {
@@ -37,15 +44,10 @@
 
 async fn measure() -> io::Result<Figures> {
     let mut all = Figures::default();
-    for figures in [
-        today().await?,
-        scaling().await?,
-        faults().await?,
-        curve().await?,
-    ] {
-        figures.print();
-        all.extend(figures);
-    }
+    all.print_and_extend(today().await?);
+    all.print_and_extend(scaling().await?);
+    all.print_and_extend(faults().await?);
+    all.print_and_extend(curve().await?);
     Ok(all)
 }
 
@@ -87,18 +89,15 @@
 /// One change and the steady rate at four sizes, and the line through them.
 async fn scaling() -> io::Result<Figures> {
     let mut figures = Figures::default();
-    for daemons in SIZES {
-        let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(async |way| {
-            let prefix = format!("{}_{daemons}", way.name());
-            let mut run = begin(daemons, ConvergenceLayout::TWO_YEARS, way, prefix).await?;
-            run.one_change(6).await;
-            run.steady(2).await;
-            io::Result::Ok(run.end())
-        });
-        let (one, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
-        for each in [one, two, three] {
-            figures.extend(each);
-        }
+    let [small, medium, large, largest] = SIZES;
+    let (one, two) = tokio::try_join!(scaling_at(small), scaling_at(medium))?;
+    for part in [
+        one,
+        two,
+        scaling_at(large).await?,
+        scaling_at(largest).await?,
+    ] {
+        figures.extend(part);
     }
     for way in ConvergenceWay::ALL {
         fit(
@@ -126,6 +125,21 @@
     Ok(figures)
 }
 
+async fn scaling_at(daemons: usize) -> io::Result<Figures> {
+    let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(async |way| {
+        let prefix = format!("{}_{daemons}", way.name());
+        let mut run = begin(daemons, ConvergenceLayout::TWO_YEARS, way, prefix).await?;
+        run.one_change(6).await;
+        run.steady(2).await;
+        io::Result::Ok(run.end())
+    });
+    let (one, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
+    let mut figures = one;
+    figures.extend(two);
+    figures.extend(three);
+    Ok(figures)
+}
+
 #[expect(clippy::cast_precision_loss, reason = "sizes are small")]
 fn fit(figures: &mut Figures, way: ConvergenceWay, name: &str, unit: &'static str, most: f64) {
     let points = SIZES.map(|daemons| {
--- a/crates/bench/src/convergence_command.rs
+++ b/crates/bench/src/convergence_command.rs
@@ -13,14 +13,12 @@
         outcome: FetchOutcome,
         source: FetchSource,
     },
-    /// The store sent whole lists.
-    Lists { encoded: Vec<u8>, head: ConfigHead },
     /// A peer asks for a transfer.
     Transfer {
         base: Option<ConfigHead>,
         reply: oneshot::Sender<TransferReply>,
     },
-    /// A peer answered a request for a transfer.
+    /// A peer or the store sent lists.
     Transferred {
         reply: TransferReply,
         source: FetchSource,
--- a/crates/bench/src/convergence_daemon.rs
+++ b/crates/bench/src/convergence_daemon.rs
@@ -102,10 +102,6 @@
         match command {
             ConvergenceCommand::Event(event) => self.handle(event),
             ConvergenceCommand::FetchFailed { outcome, source } => self.finish(source, outcome),
-            ConvergenceCommand::Lists { encoded, head } => {
-                let outcome = self.take_whole(head, &encoded);
-                self.finish(FetchSource::Store, outcome);
-            }
             ConvergenceCommand::Transfer { base, reply } => {
                 let ticket = fastrand::u64(..);
                 self.transfers.insert(ticket, reply);
@@ -245,15 +241,19 @@
     }
 
     fn fetch_store(&self, head: ConfigHead) {
+        let base = self.holder.head();
         let (commands, store) = (self.commands.clone(), Arc::clone(&self.store));
         let network = Arc::clone(&self.network);
         let reachable = self.network.reaches_store(&self.me);
         tokio::spawn(async move {
             tokio::time::sleep(READ_TIME).await;
-            let command = match store.read_lists(head).filter(|_| reachable) {
-                Some(encoded) => {
-                    network.count_stream(LinkClass::Store, encoded.len());
-                    ConvergenceCommand::Lists { encoded, head }
+            let command = match store.read_lists(base, head).filter(|_| reachable) {
+                Some(reply) => {
+                    network.count_stream(LinkClass::Store, reply.encoded_len());
+                    ConvergenceCommand::Transferred {
+                        reply,
+                        source: FetchSource::Store,
+                    }
                 }
                 None => ConvergenceCommand::FetchFailed {
                     outcome: FetchOutcome::Failed,
--- a/crates/bench/src/convergence_fleet.rs
+++ b/crates/bench/src/convergence_fleet.rs
@@ -242,6 +242,15 @@
             .collect()
     }
 
+    /// Waits until these daemons are ready.
+    pub async fn wait_ready(&self, daemons: &[usize], limit: Duration) {
+        let end = Instant::now() + limit;
+        let is_ready = |at: &usize| self.record.ready_at(self.members[*at].life).is_some();
+        while !daemons.iter().all(is_ready) && Instant::now() < end {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
     /// Returns how long after `since` each of these daemons was ready.
     #[must_use]
     pub fn ready_after(&self, daemons: &[usize], since: Instant) -> Vec<Duration> {
--- a/crates/bench/src/convergence_run.rs
+++ b/crates/bench/src/convergence_run.rs
@@ -170,7 +170,8 @@
             .set_faults(ConvergenceFaults::default());
         let (head, _) = accepted[changes - 1];
         self.fleet.wait_all_hold(head, LIMIT).await;
-        let waits = self.fleet.held_after(head.version, since);
+        let mut waits = self.fleet.held_after(head.version, since);
+        waits.retain(|wait| !wait.is_zero());
         self.times("zone_back", &waits);
     }
 
@@ -194,7 +195,7 @@
         let since = Instant::now();
         self.fleet.restart(killed.iter().copied()).await?;
         self.fleet.wait_all_hold(head, LIMIT).await;
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        self.fleet.wait_ready(&killed, LIMIT).await;
         let waits = self.fleet.ready_after(&killed, since);
         self.times("herd_ready", &waits);
         let lists = self.fleet.store().list_reads() - lists;
@@ -255,6 +256,9 @@
         self.add(&format!("{name}_median"), median, "ms");
         let p99 = ms(histogram.value_at_quantile(0.99));
         self.add(&format!("{name}_99_in_100"), p99, "ms");
+        let reached = histogram.count_between(0, LONGEST_US - 1);
+        let share = 100.0 * precise(reached) / precise(histogram.len());
+        self.add(&format!("{name}_reached"), share, "percent");
         let last = ms(histogram.max());
         self.bounded(&format!("{name}_last"), last, "ms", CONVERGENCE_BOUND_MS);
     }
--- a/crates/bench/src/convergence_store.rs
+++ b/crates/bench/src/convergence_store.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use medlarspool_types::{ConfigDigest, ConfigHead};
+use medlarspool_config::Snapshot;
+use medlarspool_proto::TransferReply;
+use medlarspool_spread::update_between;
+use medlarspool_types::{ConfigHead, ConfigVersion};
 
 use crate::SampleLists;
 
@@ -16,8 +19,8 @@
 
 #[derive(Debug)]
 struct Accepted {
-    lists: HashMap<ConfigDigest, Vec<u8>>,
     sample: SampleLists,
+    snapshots: HashMap<ConfigVersion, Snapshot>,
     versions: Vec<(ConfigHead, Instant)>,
 }
 
@@ -35,8 +38,8 @@
     #[must_use]
     pub fn new(customers: usize, seed: u64) -> Self {
         let accepted = Accepted {
-            lists: HashMap::new(),
             sample: SampleLists::new(customers, seed),
+            snapshots: HashMap::new(),
             versions: Vec::new(),
         };
         let store = Self {
@@ -55,9 +58,7 @@
         accepted.sample.change(1);
         let snapshot = accepted.sample.snapshot();
         let head = snapshot.head();
-        accepted
-            .lists
-            .insert(head.digest, snapshot.lists().encode());
+        accepted.snapshots.insert(head.version, snapshot);
         accepted.versions.push((head, Instant::now()));
         head
     }
@@ -93,12 +94,23 @@
         self.lock().versions.last().map(|(head, _)| *head)
     }
 
-    pub(crate) fn read_lists(&self, head: ConfigHead) -> Option<Vec<u8>> {
+    /// Returns what leads from the version that is held to another, or the whole of it.
+    pub(crate) fn read_lists(&self, base: ConfigHead, head: ConfigHead) -> Option<TransferReply> {
         self.list_reads.fetch_add(1, Ordering::Relaxed);
         if self.down.load(Ordering::Relaxed) {
             return None;
         }
-        self.lock().lists.get(&head.digest).cloned()
+        let accepted = self.lock();
+        let next = accepted.snapshots.get(&head.version)?;
+        let mut reply = TransferReply {
+            head: Some(head.into()),
+            ..TransferReply::default()
+        };
+        match accepted.snapshots.get(&base.version) {
+            Some(base) => reply.deltas = vec![update_between(base, next).delta.to_vec()],
+            None => reply.lists = next.lists().encode(),
+        }
+        Some(reply)
     }
 
     fn lock(&self) -> MutexGuard<'_, Accepted> {
--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -41,7 +41,13 @@
         found.next().map(|figure| figure.value)
     }
 
-    /// Prints the figures added since the last time, so that a long bench shows its way.
+    /// Prints the figures of a part and takes them in, so that a long bench shows its way.
+    pub fn print_and_extend(&mut self, part: Self) {
+        part.print();
+        self.extend(part);
+    }
+
+    /// Prints the figures.
     pub fn print(&self) {
         for figure in &self.all {
             println!("{figure}");
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -24,6 +24,7 @@
 mod convergence_fleet;
 mod convergence_layout;
 mod convergence_network;
+mod convergence_processes;
 mod convergence_record;
 mod convergence_run;
 mod convergence_store;
@@ -83,6 +84,7 @@
     convergence_fleet::ConvergenceFleet,
     convergence_layout::ConvergenceLayout,
     convergence_network::ConvergenceNetwork,
+    convergence_processes::convergence_processes,
     convergence_record::ConvergenceRecord,
     convergence_run::{ConvergenceRun, link_name},
     convergence_store::ConvergenceStore,
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -11,7 +11,8 @@
     RunEnd, Slot,
 };
 use medlarspool_proto::{CallReply, CallRequest, LoadReport, Refusal, WireHead};
-use medlarspool_types::{CallId, ConfigVersion, CustomerId, ServiceName, Verdict};
+use medlarspool_spread::SpreadEvent;
+use medlarspool_types::{CallId, ConfigHead, ConfigVersion, CustomerId, ServiceName, Verdict};
 
 use crate::{
     Announcement,
@@ -111,9 +112,15 @@
         }
         let customer: CustomerId = request.customer.parse().map_err(|_| Refusal::NotAllowed)?;
         let service: ServiceName = request.service.parse().map_err(|_| Refusal::NotAllowed)?;
-        let version = ConfigVersion(request.admitted_by.map_or(0, |head| head.version));
+        let admitted_by = request
+            .admitted_by
+            .map_or_else(ConfigHead::default, Into::into);
+        if self.shared.held().version < admitted_by.version {
+            let event = SpreadEvent::HeadHeard(admitted_by);
+            self.shared.tell_control(ControlMessage::Spread(event));
+        }
         let weight = self
-            .admit_by_plan(&customer, &service, version, deadline)
+            .admit_by_plan(&customer, &service, admitted_by.version, deadline)
             .await?;
         let announcement = self.upstream(&service)?;
         let call = call_id(&request.call_id);
--- a/crates/daemon/src/platform_worker.rs
+++ b/crates/daemon/src/platform_worker.rs
@@ -6,7 +6,6 @@
     thread::JoinHandle,
 };
 
-use medlarspool_config::Lists;
 use medlarspool_membership::SeedRow;
 use medlarspool_platform::{Platform, PlatformError, read_head, read_snapshot};
 use medlarspool_spread::{FetchOutcome, FetchSource, SpreadEvent};
@@ -77,7 +76,7 @@
         self.shared.metrics.store_reads.inc();
         let base = self.shared.serving();
         let outcome = match read_snapshot(self.platform.as_ref(), base.as_deref(), head) {
-            Ok(next) => spread_apply::take_lists(&self.shared, head, Lists::clone(next.lists())),
+            Ok(next) => spread_apply::take_snapshot(&self.shared, next),
             Err(error) => {
                 self.count_failure(&error);
                 FetchOutcome::Failed
--- a/crates/daemon/src/spread_apply.rs
+++ b/crates/daemon/src/spread_apply.rs
@@ -7,7 +7,6 @@
 use medlarspool_spread::{
     DeltaUpdate, FetchOutcome, Refusal, apply_updates, refusal_of, update_between,
 };
-use medlarspool_types::ConfigHead;
 
 use crate::shared::Shared;
 
@@ -24,17 +23,12 @@
     }
 }
 
-/// Takes whole lists into use and finds what changed, so that peers get that only.
-pub(crate) fn take_lists(shared: &Shared, head: ConfigHead, lists: Lists) -> FetchOutcome {
-    match Snapshot::build(head, Arc::new(lists)) {
-        Ok(snapshot) => {
-            let base = shared.snapshot.load_full();
-            let base = base.filter(|base| base.head().version < head.version);
-            let update = base.map(|base| update_between(&base, &snapshot));
-            swap(shared, snapshot, Vec::from_iter(update))
-        }
-        Err(error) => refuse(shared, refusal_of(&error)),
-    }
+/// Takes a snapshot into use and finds what changed, so that peers get that only.
+pub(crate) fn take_snapshot(shared: &Shared, snapshot: Snapshot) -> FetchOutcome {
+    let base = shared.snapshot.load_full();
+    let base = base.filter(|base| base.head().version < snapshot.head().version);
+    let update = base.map(|base| update_between(&base, &snapshot));
+    swap(shared, snapshot, Vec::from_iter(update))
 }
 
 /// Takes what another daemon sent into use.
@@ -43,9 +37,11 @@
         return FetchOutcome::Busy { retry_after };
     }
     if reply.deltas.is_empty() {
-        return match Lists::decode(&reply.lists) {
-            Ok(lists) => take_lists(shared, reply.head(), lists),
-            Err(_) => refuse(shared, Refusal::Damaged),
+        let built = Lists::decode(&reply.lists)
+            .and_then(|lists| Snapshot::build(reply.head(), Arc::new(lists)));
+        return match built {
+            Ok(snapshot) => take_snapshot(shared, snapshot),
+            Err(error) => refuse(shared, refusal_of(&error)),
         };
     }
     match read_updates(&reply.deltas) {
--- a/crates/spread/src/config_update.rs
+++ b/crates/spread/src/config_update.rs
@@ -59,7 +59,7 @@
 pub fn refusal_of(error: &ConfigError) -> Refusal {
     match error {
         ConfigError::Base { .. } | ConfigError::BaseDigest { .. } => Refusal::BaseMismatch,
-        ConfigError::Digest { .. } => Refusal::Damaged,
+        ConfigError::Decode { .. } | ConfigError::Digest { .. } => Refusal::Damaged,
         _ => Refusal::Invalid,
     }
 }
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -125,6 +125,7 @@
             SpreadEvent::Fetched {
                 outcome, source, ..
             } => self.fetched(now, outcome, &source),
+            SpreadEvent::HeadHeard(head) => self.head_heard(now, head),
             SpreadEvent::HeadRead(head) => self.head_read(now, head),
             SpreadEvent::HeadReadFailed => self.head_read_failed(now),
             SpreadEvent::Message {
@@ -156,6 +157,11 @@
         StorePoll::interval(&self.settings, self.peers.len())
     }
 
+    fn draw_wait(&mut self) -> Duration {
+        let interval = self.interval();
+        StorePoll::draw_wait(self.settings.mode, interval, &mut self.random)
+    }
+
     fn hands_on(&self) -> bool {
         self.settings.mode == SpreadMode::SharedBudget && self.readiness().is_ready()
     }
@@ -297,8 +303,8 @@
     }
 
     fn head_read(&mut self, now: Instant, head: ConfigHead) {
-        let interval = self.interval();
-        self.poll.succeeded(now, interval, &mut self.random);
+        let wait = self.draw_wait();
+        self.poll.succeeded(now, wait);
         self.confirmation.store_told(head, self.held);
         if head.version < self.held.version {
             self.counters.store_behind += 1;
@@ -316,8 +322,8 @@
     fn head_read_failed(&mut self, now: Instant) {
         self.counters.store_failures += 1;
         self.confirmation.store_failed();
-        let interval = self.interval();
-        self.poll.failed(now, interval, &mut self.random);
+        let wait = self.draw_wait();
+        self.poll.failed(now, wait);
     }
 
     /// Asks the store who is right, once for each version.
@@ -334,6 +340,11 @@
         if head.version == self.held.version && head != self.held {
             self.conflicted(now);
         }
+        self.head_heard(now, head);
+    }
+
+    /// Goes for a version that somebody serves by, unless the push brings it in a moment.
+    fn head_heard(&mut self, now: Instant, head: ConfigHead) {
         if self.settings.mode == SpreadMode::SharedBudget {
             let delay = self.settings.push_grace(&mut self.random);
             self.search.raise(now, self.held, head, delay);
--- a/crates/spread/src/spread_event.rs
+++ b/crates/spread/src/spread_event.rs
@@ -14,6 +14,8 @@
         /// Where it came from.
         source: FetchSource,
     },
+    /// A call showed a version that another daemon serves by.
+    HeadHeard(ConfigHead),
     /// The store answered with its head.
     HeadRead(ConfigHead),
     /// The store didn't answer.
--- a/crates/spread/src/spread_settings.rs
+++ b/crates/spread/src/spread_settings.rs
@@ -48,8 +48,8 @@
         match preference {
             SpreadPreference::ControlBytes => Self {
                 cross_copies: 1,
-                digest_interval: Duration::from_secs(2),
-                fan_out: 2,
+                digest_interval: Duration::from_secs(1),
+                fan_out: 3,
                 relay_interval: Duration::from_millis(100),
                 store_reads_per_second: 4,
                 ..Self::common()
--- a/crates/spread/src/store_poll.rs
+++ b/crates/spread/src/store_poll.rs
@@ -44,20 +44,31 @@
         due
     }
 
-    pub(crate) fn succeeded(&mut self, now: Instant, interval: Duration, random: &mut Rng) {
+    /// Ends a read that brought the head; the next comes after `wait`.
+    pub(crate) fn succeeded(&mut self, now: Instant, wait: Duration) {
         self.failures = 0;
-        self.schedule(now, interval, random);
+        self.reading = false;
+        self.next = now + wait;
     }
 
-    pub(crate) fn failed(&mut self, now: Instant, interval: Duration, random: &mut Rng) {
+    /// Ends a read that failed; the wait grows with the failures in a row.
+    pub(crate) fn failed(&mut self, now: Instant, wait: Duration) {
         self.failures = self.failures.saturating_add(1);
         let factor = 2_u32.saturating_pow(self.failures).min(MAX_BACK_OFF);
-        self.schedule(now, interval * factor, random);
+        self.reading = false;
+        self.next = now + wait * factor;
     }
 
-    fn schedule(&mut self, now: Instant, interval: Duration, random: &mut Rng) {
-        self.reading = false;
-        self.next = now + interval.mul_f64(jitter(random));
+    /// Draws the wait between two reads.
+    ///
+    /// Those that share a budget draw from an exponential distribution, whose sum over the fleet is
+    /// steady from the first moment; evenly spread waits come in waves after a common start.
+    pub(crate) fn draw_wait(mode: SpreadMode, interval: Duration, random: &mut Rng) -> Duration {
+        let jitter = match mode {
+            SpreadMode::Poll => 0.5 + random.f64(),
+            SpreadMode::SharedBudget => (-(1.0 - random.f64()).ln()).min(MAX_JITTER),
+        };
+        interval.mul_f64(jitter)
     }
 
     /// Draws again if the fleet became so small that the next read lies too far away.
@@ -85,10 +96,3 @@
         }
     }
 }
-
-/// Draws from an exponential distribution, whose sum over the fleet is steady from the first moment.
-///
-/// Evenly distributed waits would come in waves after daemons began together.
-fn jitter(random: &mut Rng) -> f64 {
-    (-(1.0 - random.f64()).ln()).min(MAX_JITTER)
-}
--- a/crates/spread/tests/fleet/mod.rs
+++ b/crates/spread/tests/fleet/mod.rs
@@ -11,8 +11,8 @@
 
 use fastrand::Rng;
 use medlarspool_spread::{
-    DeltaUpdate, FetchOutcome, FetchSource, Refusal, SpreadAction, SpreadEvent, SpreadMessage,
-    SpreadPeer, SpreadSettings,
+    DeltaUpdate, FetchOutcome, FetchSource, LinkClass, Refusal, SpreadAction, SpreadEvent,
+    SpreadMessage, SpreadPeer, SpreadSettings,
 };
 use medlarspool_types::{ConfigHead, InstanceId};
 
@@ -55,6 +55,7 @@
     pub faults: Faults,
     pub messages: u64,
     pub nodes: Vec<Node>,
+    pub offers: [u64; LinkClass::ALL.len()],
     pub now: Instant,
     pub store: Store,
     parcels: BTreeMap<(Instant, u64), (usize, Parcel)>,
@@ -70,6 +71,7 @@
             faults: Faults::default(),
             messages: 0,
             nodes: (0..daemons).map(|at| Node::new(at, zones)).collect(),
+            offers: [0; LinkClass::ALL.len()],
             now: Instant::now(),
             store: Store::default(),
             parcels: BTreeMap::new(),
@@ -233,8 +235,15 @@
                 self.post_event(at, event);
             }
             SpreadAction::Send {
-                address, message, ..
-            } => self.send(at, usize::from(address.port()), &message),
+                address,
+                link,
+                message,
+            } => {
+                if let SpreadMessage::Offer { .. } = message {
+                    self.offers[link as usize] += 1;
+                }
+                self.send(at, usize::from(address.port()), &message);
+            }
             SpreadAction::TransferBusy { .. } | SpreadAction::TransferGranted { .. } => {
                 unreachable!("transfers are answered where they are asked")
             }
--- a/crates/spread/tests/spreading.rs
+++ b/crates/spread/tests/spreading.rs
@@ -6,8 +6,8 @@
 
 use fleet::{Fleet, Node};
 use medlarspool_spread::{
-    FetchOutcome, FetchSource, Readiness, Refusal, Spread, SpreadAction, SpreadEvent, SpreadMode,
-    SpreadPreference, SpreadSettings,
+    FetchOutcome, FetchSource, LinkClass, Readiness, Refusal, Spread, SpreadAction, SpreadEvent,
+    SpreadMode, SpreadPreference, SpreadSettings,
 };
 use medlarspool_types::{ConfigDigest, ConfigHead, ConfigVersion};
 use rstest::rstest;
@@ -53,6 +53,38 @@
     assert!(reads <= 60 * budget * 5 / 4, "{reads} reads");
 }
 
+#[rstest]
+#[case::few(24)]
+#[case::many(240)]
+fn copies_over_each_link_do_not_grow_with_the_fleet(#[case] daemons: usize) {
+    const CHANGES: u64 = 20;
+    const MOST_NOTICERS: u64 = 3;
+    let settings = SpreadSettings::for_preference(SpreadPreference::ControlBytes);
+    let fan_out = settings.fan_out as u64;
+    let mut fleet = settled(daemons, 6, settings);
+    fleet.offers = [0; LinkClass::ALL.len()];
+    for _ in 0..CHANGES {
+        fleet.store.commit();
+        fleet.run(5 * SECOND);
+    }
+    let sent = |link| fleet.offers[link as usize];
+    let daemons = daemons as u64;
+    assert!(sent(LinkClass::SameZone) <= CHANGES * (fan_out + 1) * daemons);
+    let pushed = CHANGES * MOST_NOTICERS;
+    // While a change is on its way, at most a second, digests over these links are answered by it.
+    let answered = CHANGES * daemons / 2;
+    let between_regions = sent(LinkClass::BetweenRegions);
+    assert!(
+        between_regions <= pushed + answered / 8,
+        "{between_regions} offers"
+    );
+    let between_zones = sent(LinkClass::BetweenZones);
+    assert!(
+        between_zones <= 4 * pushed + answered / 4,
+        "{between_zones} offers"
+    );
+}
+
 #[test]
 fn one_read_of_the_lists_serves_the_fleet() {
     let mut fleet = settled(60, 6, SpreadSettings::default());
