--- a/crates/bench/tests/command.rs
+++ b/crates/bench/tests/command.rs
@@ -284,6 +284,47 @@
     assert_eq!(again, "accepted as version 2 (change our-change)\n");
 }
 
+#[test]
+fn an_edit_that_is_sent_again_by_its_change_id_is_told_the_truth() {
+    let operator = Operator::with_lists();
+    let edit = [
+        "edit",
+        "customer",
+        "karoo",
+        "--remove",
+        "--change",
+        "our-change",
+    ];
+    let expected = "accepted as version 2 (change our-change)\n";
+    assert_eq!(operator.ok(&edit), expected);
+    assert_eq!(operator.ok(&edit), expected);
+    operator.ok(&["history", "--change", "other-change", "--withdraw"]);
+    let edit = [
+        "edit",
+        "customer",
+        "karoo",
+        "--remove",
+        "--change",
+        "other-change",
+    ];
+    let text = operator.fails(&edit, 3);
+    assert_eq!(text, "not accepted: change `other-change` was withdrawn");
+}
+
+#[rstest]
+#[case::edit(&["edit", "customer", "karoo", "--remove"])]
+#[case::put(&["put"])]
+#[case::restore(&["restore", "1"])]
+fn a_change_that_may_be_accepted_is_not_called_refused(#[case] arguments: &[&str]) {
+    let operator = Operator::with_lists();
+    operator.platform.set_faults(FakeFaults {
+        down: true,
+        ..FakeFaults::default()
+    });
+    operator.fails(arguments, 4);
+    operator.fails(&[arguments, &["--change", "our-change"]].concat(), 5);
+}
+
 #[test]
 fn a_change_is_withdrawn() {
     let operator = Operator::with_lists();
--- a/crates/command/src/edit.rs
+++ b/crates/command/src/edit.rs
@@ -34,6 +34,9 @@
 pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<(), CommandError> {
     let [kind, id] = arguments.operands()?;
     let platform = arguments.platform()?;
+    if submit::is_settled(arguments, console, &platform)? {
+        return Ok(());
+    }
     let (head, lists) = get::fetch(&platform, None)?;
     let change = match kind {
         "customer" => customer(arguments, &lists, id)?,
--- a/crates/command/src/restore.rs
+++ b/crates/command/src/restore.rs
@@ -18,6 +18,9 @@
     let refused = |_| CommandError::Usage(format!("`{version}` is no version"));
     let version = ConfigVersion(version.parse().map_err(refused)?);
     let platform = arguments.platform()?;
+    if submit::is_settled(arguments, console, &platform)? {
+        return Ok(());
+    }
     let (_, lists) = get::fetch(&platform, Some(version))?;
     let (head, _) = get::fetch(&platform, None)?;
     submit::submit(arguments, console, &platform, head.version, lists)?;
--- a/crates/command/src/run.rs
+++ b/crates/command/src/run.rs
@@ -8,7 +8,7 @@
   1  the output can't be written
   2  the command line or a file can't be used; nothing was sent
   3  the lists are faulty or name what is not there; not accepted
-  4  the platform or a daemon can't be reached or refuses; not accepted
+  4  the platform or a daemon can't be reached or refuses; nothing was changed
   5  the outcome is not known; run `medlarspool history --change ID`
   6  not accepted because another operator's change came first
 ";
--- a/crates/command/src/subcommand.rs
+++ b/crates/command/src/subcommand.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CommandError, Console, arguments::Arguments, check, credential, dump, edit, get, history, put,
-    restore, status,
+    restore, status, submit,
 };
 
 /// What the command can be asked to do.
@@ -108,11 +108,17 @@
             Self::Check => check::run(arguments, console),
             Self::Credential => credential::run(arguments, console),
             Self::Dump => dump::run(arguments, console),
-            Self::Edit => edit::run(arguments, console),
+            Self::Edit => {
+                edit::run(arguments, console).map_err(|error| submit::explain(arguments, error))
+            }
             Self::Get => get::run(arguments, console),
             Self::History => history::run(arguments, console),
-            Self::Put => put::run(arguments, console),
-            Self::Restore => restore::run(arguments, console),
+            Self::Put => {
+                put::run(arguments, console).map_err(|error| submit::explain(arguments, error))
+            }
+            Self::Restore => {
+                restore::run(arguments, console).map_err(|error| submit::explain(arguments, error))
+            }
             Self::Status => status::run(arguments, console),
         }
     }
--- a/crates/command/src/submit.rs
+++ b/crates/command/src/submit.rs
@@ -4,7 +4,9 @@
 
 use getopts::Options;
 use medlarspool_config::Lists;
-use medlarspool_platform::{Change, CommitOutcome, Platform, commit};
+use medlarspool_platform::{
+    Change, ChangeFate, CommitError, CommitOutcome, Platform, commit, read_change,
+};
 use medlarspool_types::{ChangeId, ConfigVersion};
 use serde_json::json;
 
@@ -19,6 +21,44 @@
     options.optopt("", "operator", "who asks, for the history", "NAME");
 }
 
+/// Tells what became of a change that an earlier run sent, if that is settled: an edit of lists that
+/// hold it already could otherwise be refused, as if it had not been accepted.
+pub(crate) fn is_settled(
+    arguments: &Arguments,
+    console: &mut Console<'_>,
+    platform: &dyn Platform,
+) -> Result<bool, CommandError> {
+    let Some(change) = arguments.parsed("change")? else {
+        return Ok(false);
+    };
+    match read_change(platform, &change)? {
+        Some(ChangeFate::Accepted(record)) => {
+            let rebased = record.head.version != record.base.next();
+            let head = record.head;
+            tell(
+                arguments,
+                console,
+                &change,
+                &CommitOutcome::Accepted { head, rebased },
+            )?;
+            Ok(true)
+        }
+        Some(ChangeFate::Withdrawn) => Err(CommitError::Withdrawn(change).into()),
+        None => Ok(false),
+    }
+}
+
+/// Gives a failure's meaning: a change that an earlier run sent isn't refused because the platform
+/// can't be reached now.
+pub(crate) fn explain(arguments: &Arguments, error: CommandError) -> CommandError {
+    match (arguments.parsed("change"), error) {
+        (Ok(Some(change)), CommandError::Platform(reason)) => {
+            CommandError::Commit(CommitError::OutcomeUnknown { change, reason })
+        }
+        (_, error) => error,
+    }
+}
+
 /// Commits the lists as a change of a base version and tells what became of it.
 pub(crate) fn submit(
     arguments: &Arguments,
