Claim idempotency keys in the store before a run

Cause: A request with an idempotency key ran once more for each send.

Change: The gate holds a keyed non-idempotent request, claims its key through a thread that writes many claims in one transaction, and runs it only once it holds the key. Otherwise it asks the holder's gate and passes on what that knows. A claim whose call is then refused is given back. A malformed key is refused by the entry.

Conclusion: One key runs once across daemons, re-sends, the death of its gate and a store that is down. Rows are not yet swept, since a daemon does not know how many share the rate.

--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -141,19 +141,26 @@
     /// If an upstream does not tell, since a missing count would pass for no run.
     #[must_use]
     pub fn runs(&self, id: &str) -> u32 {
-        let upstreams = self.daemons.iter().filter_map(|daemon| {
-            daemon.upstream.as_ref()?;
-            daemon.upstream_settings.as_ref()
-        });
-        upstreams
-            .map(|upstream| {
-                let url = format!("http://{}/runs/{id}", upstream.address);
-                let reply = CallerReply::get(&url, "").expect("the upstream tells its runs");
-                reply.body.parse::<u32>().expect("a number of runs")
-            })
+        (0..self.daemons.len())
+            .map(|daemon| self.daemon_runs(daemon, id))
             .sum()
     }
 
+    /// Returns how often the upstream beside a daemon ran the request of an `x-request-id`.
+    ///
+    /// # Panics
+    ///
+    /// If the upstream does not tell.
+    #[must_use]
+    pub fn daemon_runs(&self, daemon: usize, id: &str) -> u32 {
+        let Some(upstream) = &self.daemons[daemon].upstream_settings else {
+            return 0;
+        };
+        let url = format!("http://{}/runs/{id}", upstream.address);
+        let reply = CallerReply::get(&url, "").expect("the upstream tells its runs");
+        reply.body.parse().expect("a number of runs")
+    }
+
     /// Calls until the status is as expected, and returns the reply.
     ///
     /// # Errors
--- a/crates/bench/tests/calls_faults.rs
+++ b/crates/bench/tests/calls_faults.rs
@@ -1,7 +1,6 @@
 //! What callers get when gates, upstreams and connections fail, with separate processes.
 
 use std::{
-    collections::BTreeSet,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -12,87 +11,22 @@
     time::Duration,
 };
 
-use medlarspool_bench::{CallerReply, ProcessFleet, UpstreamBehaviour, program_paths};
+use medlarspool_bench::{CallerReply, ProcessFleet};
 use rstest::rstest;
 
-const CREDENTIAL: &str = "observer-credential";
+mod call_fleet;
 
-/// A fleet whose first daemon has no upstream, and whose others serve `alerts`.
-fn fleet(gates: usize, service_time: Duration) -> ProcessFleet {
-    let mut fleet = ProcessFleet::start(program_paths!()).expect("the platform starts");
-    fleet.add_with("zone-a", None).expect("a daemon starts");
-    for _ in 0..gates {
-        fleet
-            .add("zone-a", "alerts", UpstreamBehaviour::Plain, service_time)
-            .expect("a daemon starts");
-    }
-    fleet.put(0, CREDENTIAL, &["alerts"]).expect("accepted");
-    fleet
-}
-
-/// Returns once each daemon has answered by each upstream.
-fn ready(fleet: &ProcessFleet) {
-    for daemon in 0..fleet.daemons.len() {
-        let mut missing: BTreeSet<String> = fleet
-            .daemons
-            .iter()
-            .filter_map(|daemon| Some(daemon.upstream_settings.as_ref()?.name.clone()))
-            .collect();
-        for _ in 0..500 {
-            let reply = fleet
-                .call_until(daemon, "/alerts/ready", CREDENTIAL, 200)
-                .expect("the fleet serves");
-            let name = reply.body.split(' ').next().expect("the upstream's name");
-            missing.remove(name);
-            if missing.is_empty() {
-                break;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        assert!(missing.is_empty(), "{missing:?} never answered");
-    }
-}
+use call_fleet::{CREDENTIAL, fleet, interrupted, ready, status_and_verdict};
 
 fn send(fleet: &ProcessFleet, id: &str) -> Result<CallerReply, String> {
     fleet.post(0, "/alerts/send", CREDENTIAL, &[("x-request-id", id)])
 }
 
-fn wait_for_run(fleet: &ProcessFleet, id: &str) {
-    for _ in 0..400 {
-        if fleet.runs(id) > 0 {
-            return;
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
-    panic!("the request never ran");
-}
-
-fn status_and_verdict(reply: &CallerReply) -> (u16, &str) {
-    (reply.status, reply.verdict.as_str())
-}
-
-/// Sends a request, does something to its gate while it runs, and returns the caller's reply.
-fn interrupted(
-    fleet: &mut ProcessFleet,
-    id: &str,
-    interrupt: impl FnOnce(&mut ProcessFleet),
-) -> CallerReply {
-    let address = fleet.daemons[0].settings.callers_address;
-    let url = format!("http://{address}/alerts/send");
-    let header = id.to_owned();
-    let caller = thread::spawn(move || {
-        CallerReply::post(&url, CREDENTIAL, &[("x-request-id", &header)], "a body")
-    });
-    wait_for_run(fleet, id);
-    interrupt(fleet);
-    caller.join().expect("the caller ends").expect("an answer")
-}
-
 #[test]
 fn a_gate_that_dies_in_a_run_leaves_one_run_and_an_honest_verdict() {
     let mut fleet = fleet(1, Duration::from_millis(1_500));
     ready(&fleet);
-    let reply = interrupted(&mut fleet, "killed", |fleet| {
+    let reply = interrupted(&mut fleet, &[("x-request-id", "killed")], |fleet| {
         fleet.daemons[1].process.kill();
     });
     assert_eq!(status_and_verdict(&reply), (502, "may-have-run"));
@@ -104,7 +38,7 @@
     let mut fleet = fleet(1, Duration::from_millis(1_500));
     ready(&fleet);
     let programs = fleet.programs();
-    let reply = interrupted(&mut fleet, "restarted", |fleet| {
+    let reply = interrupted(&mut fleet, &[("x-request-id", "restarted")], |fleet| {
         fleet.daemons[1].restart(&programs).expect("it starts");
     });
     assert_eq!(status_and_verdict(&reply), (502, "may-have-run"));
@@ -115,7 +49,7 @@
 fn the_answer_of_a_gate_that_was_paused_arrives_after_all() {
     let mut fleet = fleet(1, Duration::from_millis(300));
     ready(&fleet);
-    let reply = interrupted(&mut fleet, "paused", |fleet| {
+    let reply = interrupted(&mut fleet, &[("x-request-id", "paused")], |fleet| {
         fleet.daemons[1].process.signal("STOP").expect("stopped");
         thread::sleep(Duration::from_millis(3_500));
         fleet.daemons[1].process.signal("CONT").expect("continued");
--- /dev/null
+++ b/crates/daemon/src/claim_worker.rs
@@ -0,0 +1,142 @@
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use medlarspool_calls::{BatchEnd, CallSettings, ClaimBatch, ClaimCommit, ClaimHolder, ClaimWrite};
+use medlarspool_platform::{Platform, PlatformError, RowCondition, RowWrite};
+use medlarspool_types::CallId;
+use tokio::sync::oneshot;
+
+use crate::{DaemonError, claim_job::ClaimJob, shared::Shared};
+
+/// The longest that the thread waits for a job.
+const MAX_WAIT: Duration = Duration::from_millis(200);
+
+/// The thread that alone waits for the store to take claims, many in one transaction.
+pub(crate) struct ClaimWorker {
+    batch: ClaimBatch,
+    platform: Arc<dyn Platform>,
+    shared: Arc<Shared>,
+    waiting: HashMap<CallId, oneshot::Sender<ClaimCommit>>,
+}
+
+impl ClaimWorker {
+    pub(crate) fn start(
+        shared: Arc<Shared>,
+        settings: &CallSettings,
+        platform: Arc<dyn Platform>,
+        jobs: Receiver<ClaimJob>,
+    ) -> Result<JoinHandle<()>, DaemonError> {
+        let mut worker = Self {
+            batch: ClaimBatch::new(settings),
+            platform,
+            shared,
+            waiting: HashMap::new(),
+        };
+        std::thread::Builder::new()
+            .name("claims".into())
+            .spawn(move || worker.serve(&jobs))
+            .map_err(|error| DaemonError::Thread(error.to_string()))
+    }
+
+    fn serve(&mut self, jobs: &Receiver<ClaimJob>) {
+        while !self.shared.is_stopped() {
+            match jobs.recv_timeout(self.wait()) {
+                Ok(job) => {
+                    self.take(job);
+                    for job in jobs.try_iter() {
+                        self.take(job);
+                    }
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            self.write();
+        }
+    }
+
+    fn take(&mut self, job: ClaimJob) {
+        match job {
+            ClaimJob::Read { answer, key } => {
+                if let Ok(holder) = self.read(&key) {
+                    tell(answer, holder);
+                }
+            }
+            ClaimJob::Write { answer, write } => {
+                let attempt = write.attempt;
+                match self.batch.submit(self.shared.clock.now(), write) {
+                    Ok(()) => drop(self.waiting.insert(attempt, answer)),
+                    Err(_) => tell(answer, ClaimCommit::Down),
+                }
+            }
+        }
+    }
+
+    fn read(&self, key: &str) -> Result<Option<ClaimHolder>, PlatformError> {
+        self.shared.metrics.store_reads.inc();
+        let row = self.platform.row(key).inspect_err(|_| {
+            self.shared.metrics.store_failures.inc();
+        })?;
+        row.map(|row| {
+            let claim = row.value.parse();
+            let claim = claim.map_err(|_| PlatformError::Malformed(row.value));
+            Ok(ClaimHolder {
+                etag: row.etag,
+                row: claim?,
+            })
+        })
+        .transpose()
+    }
+
+    fn wait(&self) -> Duration {
+        let due = self.batch.next_wakeup();
+        due.map_or(MAX_WAIT, |due| {
+            let wait = due.saturating_duration_since(self.shared.clock.now());
+            wait.min(MAX_WAIT)
+        })
+    }
+
+    fn write(&mut self) {
+        let Some(writes) = self.batch.start(self.shared.clock.now()) else {
+            return;
+        };
+        let writes: Vec<RowWrite> = writes.iter().map(row_write).collect();
+        self.shared.metrics.store_writes.inc();
+        let end = match self.platform.transact(&writes) {
+            Ok(()) => BatchEnd::Written,
+            Err(PlatformError::Conflict { key }) => BatchEnd::Conflict { key },
+            Err(PlatformError::OutcomeUnknown(_)) => BatchEnd::Unknown,
+            Err(_) => BatchEnd::Down,
+        };
+        if matches!(end, BatchEnd::Down | BatchEnd::Unknown) {
+            self.shared.metrics.store_failures.inc();
+        }
+        for result in self.batch.finish(self.shared.clock.now(), &end) {
+            if let Some(answer) = self.waiting.remove(&result.attempt) {
+                tell(answer, result.commit);
+            }
+        }
+    }
+}
+
+fn row_write(write: &ClaimWrite) -> RowWrite {
+    RowWrite {
+        condition: write
+            .etag
+            .map_or(RowCondition::Absent, RowCondition::Matches),
+        key: write.key.clone(),
+        value: write.value.clone(),
+    }
+}
+
+fn tell<T>(answer: oneshot::Sender<T>, told: T) {
+    if answer.send(told).is_err() {
+        log::debug!("the call that asked for a claim is gone");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/claims.rs
@@ -0,0 +1,149 @@
+use std::{
+    sync::{Arc, mpsc::Sender},
+    time::Duration,
+};
+
+use medlarspool_calls::{
+    CallSettings, ChannelId, ClaimCommit, ClaimHolder, ClaimKey, ClaimPolicy, ClaimRow, ClaimStep,
+    ClaimWrite, Fate, FateQuestion, Fingerprint, QuestionKind, RefusalReason,
+};
+use medlarspool_proto::{CallReply, CallRequest, FateRequest};
+use medlarspool_types::{CallId, CustomerId, ServiceName};
+use tokio::sync::oneshot;
+
+use crate::{
+    claim_end::ClaimEnd,
+    claim_job::ClaimJob,
+    fate_codec::{fate_reply, wire_channel},
+    gate_queue::GateQueue,
+    peer_pool::PeerPool,
+    shared::Shared,
+};
+
+/// How often the gate of a try that is underway is asked again.
+const OWNER_CHECK: Duration = Duration::from_millis(20);
+
+/// How long a question to another gate may take.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Leads tries with an idempotency key to their claims.
+pub(crate) struct Claims {
+    pub(crate) jobs: Sender<ClaimJob>,
+    pub(crate) peers: Arc<PeerPool>,
+    pub(crate) queue: Arc<GateQueue>,
+    pub(crate) settings: CallSettings,
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Claims {
+    /// Claims the request's key for this try, or finds out what came of the try that holds it.
+    pub(crate) async fn claim(
+        &self,
+        call: CallId,
+        customer: &CustomerId,
+        service: &ServiceName,
+        request: &CallRequest,
+    ) -> ClaimEnd {
+        let Ok(key) = ClaimKey::parse(customer, service, &request.idempotency_key) else {
+            return ClaimEnd::Refused(RefusalReason::KeyExpired);
+        };
+        let (method, path) = (request.method.as_str(), request.path.as_str());
+        let fingerprint = Fingerprint::of(customer, service, method, path, &request.body);
+        let own = ClaimRow {
+            attempt: call,
+            fingerprint,
+            gate: self.shared.settings.instance.clone(),
+            gate_address: self.shared.settings.peers_address,
+            gate_life: self.shared.incarnation,
+        };
+        let mut policy = ClaimPolicy::new(&self.settings, key, own);
+        let mut step = policy.start(self.shared.clock.system_now(), &self.settings);
+        loop {
+            step = match step {
+                ClaimStep::AskOwner(row) => self.ask_owner(&mut policy, row).await,
+                ClaimStep::Earlier(fate) => return ClaimEnd::Earlier(fate),
+                ClaimStep::Read => self.read_row(&mut policy).await,
+                ClaimStep::Refuse(reason) => return ClaimEnd::Refused(reason),
+                ClaimStep::Run => return ClaimEnd::Claimed(policy),
+                ClaimStep::Wait(row) => {
+                    tokio::time::sleep(OWNER_CHECK).await;
+                    self.ask_owner(&mut policy, row).await
+                }
+                ClaimStep::Write(write) => {
+                    let commit = self.write(write).await;
+                    policy.on_commit(commit)
+                }
+            };
+        }
+    }
+
+    /// Gives the key of a try back that was refused after its claim.
+    pub(crate) async fn release(&self, policy: ClaimPolicy) {
+        let holder = self.read(policy.key().row_key()).await;
+        if let Ok(Some(holder)) = holder
+            && let Some(write) = policy.release(&holder)
+        {
+            self.write(write).await;
+        }
+    }
+
+    async fn ask_owner(
+        &self,
+        policy: &mut ClaimPolicy,
+        row: ClaimRow,
+    ) -> ClaimStep<Arc<CallReply>> {
+        let fate = self.owners_fate(&row).await.unwrap_or(Fate::MayHaveRun);
+        policy.on_fate(row, fate)
+    }
+
+    /// Returns nothing if the gate can't be reached.
+    async fn owners_fate(&self, row: &ClaimRow) -> Option<Fate<Arc<CallReply>>> {
+        let channel = ChannelId {
+            gate_life: row.gate_life,
+            number: 0,
+        };
+        if row.gate_address == self.shared.settings.peers_address {
+            let question = FateQuestion {
+                call: row.attempt,
+                channel,
+                kind: QuestionKind::Inquire,
+            };
+            return Some(self.queue.ask(&question).fate);
+        }
+        let connection = self.peers.connection(row.gate_address).await.ok()?;
+        let question = FateRequest {
+            call_id: row.attempt.0.to_be_bytes().to_vec(),
+            channel: Some(wire_channel(channel)),
+            settle: false,
+        };
+        let answer = connection.client.fate(question, OWNER_TIMEOUT).await;
+        if answer.is_err() {
+            let address = row.gate_address;
+            self.peers.give_up(address, connection.channel).await;
+        }
+        Some(fate_reply(answer.ok()?).fate)
+    }
+
+    async fn read_row(&self, policy: &mut ClaimPolicy) -> ClaimStep<Arc<CallReply>> {
+        match self.read(policy.key().row_key()).await {
+            Ok(holder) => policy.on_read(holder),
+            Err(_) => policy.on_read_failed(),
+        }
+    }
+
+    async fn read(&self, key: String) -> Result<Option<ClaimHolder>, oneshot::error::RecvError> {
+        let (answer, told) = oneshot::channel();
+        if self.jobs.send(ClaimJob::Read { answer, key }).is_err() {
+            log::debug!("the claims' thread is gone");
+        }
+        told.await
+    }
+
+    async fn write(&self, write: ClaimWrite) -> ClaimCommit {
+        let (answer, told) = oneshot::channel();
+        if self.jobs.send(ClaimJob::Write { answer, write }).is_err() {
+            return ClaimCommit::Down;
+        }
+        told.await.unwrap_or(ClaimCommit::Unknown)
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,10 +23,11 @@
 
 use crate::{
     DaemonError, Settings, administration::Administration, announcements::Announcements,
-    bounded_server::BoundedServer, control::Control, control_message::ControlMessage,
-    datagram_socket::DatagramSocket, directory::Directory, entry::Entry, gate::Gate,
-    local_upstream::LocalUpstream, metrics::Metrics, peer_edge::PeerEdge, peer_pool::PeerPool,
-    platform_worker::PlatformWorker, shared::Shared, spread_state::SpreadState,
+    bounded_server::BoundedServer, claim_worker::ClaimWorker, control::Control,
+    control_message::ControlMessage, datagram_socket::DatagramSocket, directory::Directory,
+    entry::Entry, gate::Gate, local_upstream::LocalUpstream, metrics::Metrics, peer_edge::PeerEdge,
+    peer_pool::PeerPool, platform_worker::PlatformWorker, shared::Shared,
+    spread_state::SpreadState,
 };
 
 /// How long no call may arrive before a draining gate stops to answer.
@@ -70,10 +71,18 @@
         let shared = Arc::new(share(settings, clock, control.clone())?);
         let runtime = start_runtime()?;
         let calls = CallSettings::default();
-        let gate = Gate::new(Arc::clone(&shared), &calls);
+        let peers_pool = Arc::new(PeerPool::new(shared.key.clone()));
+        let (claims, claim_jobs) = mpsc::channel();
+        let gate = Gate::new(Arc::clone(&shared), &calls, Arc::clone(&peers_pool), claims);
         let (jobs, job_queue) = mpsc::channel();
         let socket = Arc::new(DatagramSocket::bind(Arc::clone(&shared))?);
         let threads = vec![
+            ClaimWorker::start(
+                Arc::clone(&shared),
+                &calls,
+                Arc::clone(&platform),
+                claim_jobs,
+            )?,
             Arc::clone(&socket).receive(control.clone())?,
             PlatformWorker::start(Arc::clone(&shared), platform, control.clone(), job_queue)?,
             Control::start(
@@ -87,7 +96,13 @@
         let (peers_stop, stopped) = oneshot::channel();
         let peers = serve_peers(&runtime, &shared, &gate, stopped)?;
         // Callers first: whoever reaches the other two addresses finds the callers' one open, too.
-        let callers = start_callers(&shared, &calls, Arc::clone(&gate), runtime.handle())?;
+        let callers = start_callers(
+            &shared,
+            &calls,
+            Arc::clone(&gate),
+            peers_pool,
+            runtime.handle(),
+        )?;
         let announcements = start_announcements(&shared)?;
         let administration = start_administration(&shared)?;
         let daemon = Self {
@@ -257,9 +272,9 @@
     shared: &Arc<Shared>,
     calls: &CallSettings,
     gate: Arc<Gate>,
+    peers: Arc<PeerPool>,
     runtime: &Handle,
 ) -> Result<BoundedServer, DaemonError> {
-    let peers = Arc::new(PeerPool::new(shared.key.clone()));
     let entry = Arc::new(Entry::new(shared, calls, gate, peers, runtime.clone()));
     let address = shared.settings.callers_address;
     let workers = shared.settings.worker_threads;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -7,11 +7,12 @@
 };
 
 use medlarspool_calls::{
-    Admission, AdmissionRefusal, CallOutcome, CallSettings, FailedTry, Idempotency, RetryDecision,
+    Admission, AdmissionRefusal, CallOutcome, CallSettings, ClaimKey, FailedTry, Idempotency,
+    RetryDecision,
 };
 use medlarspool_config::Snapshot;
 use medlarspool_proto::{CallReply, CallRequest, Refusal, WireHead, WireVerdict};
-use medlarspool_types::{ConfigVersion, InstanceId, ServiceName, Verdict};
+use medlarspool_types::{ConfigVersion, CustomerId, InstanceId, ServiceName, Verdict};
 use tiny_http::Request;
 use tokio::runtime::Handle;
 
@@ -50,7 +51,7 @@
 
 /// What the configuration and the caller say of a request's bounds.
 struct Route {
-    customer: String,
+    customer: CustomerId,
     head: WireHead,
     max_body_bytes: u64,
     timeout: Duration,
@@ -119,17 +120,21 @@
             context.retry_per_mille.min(self.retry_per_mille)
         });
         let method = request.method().as_str().to_owned();
+        let idempotency = Idempotency::of_method(&method);
+        let key = caller_request::header(request, "idempotency-key").unwrap_or_default();
+        if idempotency == Idempotency::NonIdempotent && !key.is_empty() {
+            check_key(&route.customer, &service, &key)?;
+        }
         Ok(Call {
             deadline: arrived + timeout,
-            idempotency: Idempotency::of_method(&method),
+            idempotency,
             request: CallRequest {
                 admitted_by: Some(route.head),
                 body,
-                customer: route.customer,
+                customer: route.customer.as_str().to_owned(),
                 depth: context.map_or(0, |context| context.depth.into()),
                 headers: caller_request::headers(request),
-                idempotency_key: caller_request::header(request, "idempotency-key")
-                    .unwrap_or_default(),
+                idempotency_key: key,
                 method,
                 path,
                 retry_per_mille: share,
@@ -158,7 +163,7 @@
             match Admission::at_entry(&snapshot, credential, service, version) {
                 Admission::Admitted { customer, route } => {
                     return Ok(Route {
-                        customer: customer.as_str().to_owned(),
+                        customer: customer.clone(),
                         head: snapshot.head().into(),
                         max_body_bytes: self
                             .shared
@@ -268,6 +273,12 @@
     }
 }
 
+fn check_key(customer: &CustomerId, service: &ServiceName, key: &str) -> Result<(), HttpReply> {
+    ClaimKey::parse(customer, service, key)
+        .map(drop)
+        .map_err(|error| HttpReply::text(400, &format!("{error}\n")))
+}
+
 fn failed_try(
     call: &Call,
     end: &HopEnd,
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -2,23 +2,28 @@
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
+        mpsc::Sender,
     },
     time::{Duration, Instant},
 };
 
 use medlarspool_calls::{
-    Admission, CallSettings, ChannelId, Fate, FateQuestion, GateWork, QuestionKind, RequestContext,
-    RunEnd, Slot,
+    Admission, CallSettings, ChannelId, Fate, FateQuestion, GateWork, Idempotency, QuestionKind,
+    RefusalReason, RequestContext, RunEnd, Slot,
 };
-use medlarspool_proto::{CallReply, CallRequest, LoadReport, Refusal, WireHead};
+use medlarspool_proto::{CallReply, CallRequest, LoadReport, Refusal, WireHead, WireVerdict};
 use medlarspool_spread::SpreadEvent;
 use medlarspool_types::{CallId, ConfigHead, ConfigVersion, CustomerId, ServiceName, Verdict};
 
 use crate::{
     Announcement,
+    claim_end::ClaimEnd,
+    claim_job::ClaimJob,
+    claims::Claims,
     control_message::ControlMessage,
     fate_codec::{call_id, channel_id},
     gate_queue::{GateQueue, Place},
+    peer_pool::PeerPool,
     refusal_codec::wire_refusal,
     shared::Shared,
     turn::Turn,
@@ -41,6 +46,7 @@
 /// The only way to the upstream beside this daemon, so that its "not run" is a fact.
 pub(crate) struct Gate {
     arrivals: AtomicU64,
+    claims: Arc<Claims>,
     client: UpstreamClient,
     queue: Arc<GateQueue>,
     shared: Arc<Shared>,
@@ -52,16 +58,38 @@
     call: CallId,
     deadline: Instant,
     request: CallRequest,
+    service: ServiceName,
     work: GateWork,
 }
 
+impl Admitted {
+    fn needs_claim(&self) -> bool {
+        let idempotency = Idempotency::of_method(&self.request.method);
+        !self.request.idempotency_key.is_empty() && idempotency == Idempotency::NonIdempotent
+    }
+}
+
 impl Gate {
-    pub(crate) fn new(shared: Arc<Shared>, settings: &CallSettings) -> Arc<Self> {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        settings: &CallSettings,
+        peers: Arc<PeerPool>,
+        jobs: Sender<ClaimJob>,
+    ) -> Arc<Self> {
         let clock = Arc::clone(&shared.clock);
+        let queue = GateQueue::new(settings, shared.incarnation, clock);
+        let claims = Claims {
+            jobs,
+            peers,
+            queue: Arc::clone(&queue),
+            settings: settings.clone(),
+            shared: Arc::clone(&shared),
+        };
         Arc::new(Self {
             arrivals: AtomicU64::new(0),
+            claims: Arc::new(claims),
             client: UpstreamClient::new(shared.settings.max_body_bytes),
-            queue: GateQueue::new(settings, shared.incarnation, clock),
+            queue,
             shared,
         })
     }
@@ -85,13 +113,10 @@
         let channel = self.queue.open_channel();
         request.channel = Some(crate::fate_codec::wire_channel(channel));
         let reply = match self.admit(request).await {
-            Ok(admitted) => {
-                let (turn, admitted) = self.wait_for_turn(admitted).await;
-                match turn {
-                    Turn::Start(slot) => self.run(&admitted, slot),
-                    other => self.without_run(&admitted, other).await,
-                }
-            }
+            Ok(admitted) => match self.wait_for_turn(&admitted).await {
+                Ok(slot) => self.run(&admitted, slot),
+                Err(reply) => reply,
+            },
             Err(refusal) => refused(refusal),
         };
         self.queue.close_channel(channel);
@@ -135,6 +160,7 @@
             call,
             deadline,
             request,
+            service,
             work,
         })
     }
@@ -188,37 +214,85 @@
     }
 
     async fn queue_and_run(self: &Arc<Self>, admitted: Admitted) -> CallReply {
-        let (turn, admitted) = self.wait_for_turn(admitted).await;
-        let slot = match turn {
-            Turn::Start(slot) => slot,
-            other => return self.without_run(&admitted, other).await,
+        let slot = match self.wait_for_turn(&admitted).await {
+            Ok(slot) => slot,
+            Err(reply) => return reply,
         };
         let gate = Arc::clone(self);
         let running = tokio::task::spawn_blocking(move || gate.run(&admitted, slot));
         running.await.unwrap_or_else(|_| lost())
     }
 
-    async fn wait_for_turn(&self, admitted: Admitted) -> (Turn, Admitted) {
+    async fn wait_for_turn(&self, admitted: &Admitted) -> Result<Slot<Arc<CallReply>>, CallReply> {
         let channel = channel_id(admitted.request.channel);
-        let mut place: Place = self.queue.offer(admitted.work.clone(), channel);
+        if admitted.needs_claim() {
+            return self.claim_and_wait(admitted, channel).await;
+        }
+        let place = self.queue.offer(admitted.work.clone(), channel);
+        self.take_turn(admitted, place).await
+    }
+
+    /// Holds a request with a key until the key is claimed, and fences it if that fails.
+    async fn claim_and_wait(
+        &self,
+        admitted: &Admitted,
+        channel: ChannelId,
+    ) -> Result<Slot<Arc<CallReply>>, CallReply> {
+        let mut place = self.queue.hold(&admitted.work, channel);
+        if let Some(turn) = place.try_turn() {
+            return self.decided(admitted, turn).await;
+        }
+        let (call, customer) = (admitted.call, &admitted.work.customer);
+        let claim = self
+            .claims
+            .claim(call, customer, &admitted.service, &admitted.request);
+        let patience = self.remaining(admitted.deadline);
+        let late = ClaimEnd::Refused(RefusalReason::DeadlineUnmeetable);
+        match tokio::time::timeout(patience, claim).await.unwrap_or(late) {
+            ClaimEnd::Claimed(policy) => {
+                self.queue.offer_held(admitted.work.clone());
+                let turn = self.take_turn(admitted, place).await;
+                if turn.is_err() {
+                    let claims = Arc::clone(&self.claims);
+                    tokio::spawn(async move { claims.release(policy).await });
+                }
+                turn
+            }
+            ClaimEnd::Earlier(fate) => {
+                drop(place);
+                Err(earlier(fate))
+            }
+            ClaimEnd::Refused(reason) => {
+                self.queue.refuse_held(call, reason);
+                self.take_turn(admitted, place).await
+            }
+        }
+    }
+
+    async fn take_turn(
+        &self,
+        admitted: &Admitted,
+        mut place: Place,
+    ) -> Result<Slot<Arc<CallReply>>, CallReply> {
         let turn = match place.try_turn() {
             Some(turn) => turn,
             None => place.turn(self.remaining(admitted.deadline)).await,
         };
-        (turn, admitted)
+        self.decided(admitted, turn).await
     }
 
-    async fn without_run(&self, admitted: &Admitted, turn: Turn) -> CallReply {
+    async fn decided(
+        &self,
+        admitted: &Admitted,
+        turn: Turn,
+    ) -> Result<Slot<Arc<CallReply>>, CallReply> {
         match turn {
-            Turn::Refused(refusal) => CallReply {
+            Turn::Refused(refusal) => Err(CallReply {
                 retry_after_ms: millis(refusal.retry_after),
                 ..refused(wire_refusal(refusal.reason))
-            },
-            Turn::Repeated => self.answer_repeated(admitted).await,
-            Turn::Start(slot) => {
-                slot.finish(RunEnd::NotSent);
-                refused(Refusal::UpstreamDown)
-            }
+            }),
+            Turn::Repeated => Err(self.answer_repeated(admitted).await),
+            Turn::Start(slot) => Ok(slot),
         }
     }
 
@@ -305,6 +379,15 @@
     }
 }
 
+/// Tells a caller what came of the earlier try with its key.
+fn earlier(fate: Fate<Arc<CallReply>>) -> CallReply {
+    match fate {
+        Fate::AnswerGone => ran_without_answer(),
+        Fate::Ran(answer) => Arc::unwrap_or_clone(answer),
+        Fate::MayHaveRun | Fate::NeverSeen | Fate::NotRun | Fate::Underway => lost(),
+    }
+}
+
 fn lost() -> CallReply {
     CallReply::refused(Verdict::MayHaveRun, Refusal::UpstreamFailed)
 }
@@ -313,6 +396,14 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the reply on a call that ran and whose answer is no longer kept.
+pub(crate) fn ran_without_answer() -> CallReply {
+    CallReply {
+        verdict: WireVerdict::Ran.into(),
+        ..CallReply::default()
+    }
+}
+
 fn refused(refusal: Refusal) -> CallReply {
     CallReply::refused(Verdict::NotRun, refusal)
 }
--- a/crates/daemon/src/gate_queue.rs
+++ b/crates/daemon/src/gate_queue.rs
@@ -78,6 +78,13 @@
         self.lock().gate.is_drained()
     }
 
+    /// Takes in a call that first needs a claim, as undecided unless it is refused or repeated.
+    pub(crate) fn hold(self: &Arc<Self>, work: &GateWork, channel: ChannelId) -> Place {
+        self.enter(work.call, |gate, now, actions| {
+            gate.hold(now, work, channel, actions);
+        })
+    }
+
     pub(crate) fn load(&self) -> LoadReport {
         self.lock().gate.load(self.clock.now())
     }
@@ -93,6 +100,16 @@
         })
     }
 
+    /// Queues or starts a call that was held.
+    pub(crate) fn offer_held(&self, work: GateWork) {
+        self.act(|gate, now, actions| gate.offer_held(now, work, actions));
+    }
+
+    /// Fences a held call and refuses it.
+    pub(crate) fn refuse_held(&self, call: CallId, reason: RefusalReason) {
+        self.act(|gate, now, actions| gate.refuse_held(now, call, reason, actions));
+    }
+
     /// Returns for how long a call has been running.
     pub(crate) fn running_for(&self, call: CallId) -> Option<Duration> {
         self.lock().gate.running_for(self.clock.now(), call)
--- a/crates/daemon/src/hop.rs
+++ b/crates/daemon/src/hop.rs
@@ -8,16 +8,18 @@
     CallOutcome, Fate,
     Idempotency::{self, NonIdempotent},
 };
-use medlarspool_proto::{
-    CallReply, CallRequest, FateRequest, ProtoError, Refusal, WireChannel, WireVerdict,
-};
+use medlarspool_proto::{CallReply, CallRequest, FateRequest, ProtoError, Refusal, WireChannel};
 use medlarspool_types::Verdict;
 
 use tonic::Status;
 
 use crate::{
-    fate_codec::fate_reply, gate::Gate, hop_end::HopEnd, peer_connection::PeerConnection,
-    peer_pool::PeerPool, shared::Shared,
+    fate_codec::fate_reply,
+    gate::{Gate, ran_without_answer},
+    hop_end::HopEnd,
+    peer_connection::PeerConnection,
+    peer_pool::PeerPool,
+    shared::Shared,
 };
 
 /// How long a gate may take to say that a deadline passed, before its connection counts as silent.
@@ -207,13 +209,6 @@
     }
 }
 
-fn ran_without_answer() -> CallReply {
-    CallReply {
-        verdict: WireVerdict::Ran.into(),
-        ..CallReply::default()
-    }
-}
-
 fn received(reply: Result<CallReply, Status>) -> Option<CallReply> {
     reply
         .inspect_err(|status| {
