Hold herds, cuts and planned stops to counts, also between real processes

Cause: zone herds, a restart of all with a slow store, cuts that heal, and real processes that are paused or killed were not provoked.

Change: counted tests of these under the manual clock; the bench restarts all daemons against a slow store, cuts the fleet in two and lets it meet, and stops, pauses (SIGSTOP) and kills 12 real daemons. A death told by others is believed only after half of a suspicion; a changed detail is asked for again soon; ordinary news may use a quarter of the burst and half of a datagram; pushed news from an accused sender is not answered.

--- a/crates/bench/benches/membership.rs
+++ b/crates/bench/benches/membership.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use medlarspool_bench::{Figures, LinearFit, MembershipPair, MembershipRun, fill, member};
+use medlarspool_bench::{
+    Figures, LinearFit, MembershipPair, MembershipProcesses, MembershipRun, fill, member,
+    program_paths,
+};
 use medlarspool_membership::{Membership, MembershipEvent, MembershipSettings};
 
 /// The fleets that run on real sockets, and the first port of each.
@@ -52,6 +55,13 @@
         }
     }
     derive(&mut figures);
+    match MembershipProcesses::all(program_paths!()) {
+        Ok(measured) => figures.extend(measured),
+        Err(error) => {
+            eprintln!("{error}");
+            figures.add_bounded("processes_completed", f64::NAN, "runs", 0.0);
+        }
+    }
     figures.print();
     if figures.print_bound() {
         ExitCode::SUCCESS
@@ -64,6 +74,7 @@
 fn derive(figures: &mut Figures) {
     let logarithm = |size: usize| number(size).ln();
     let full = FULL_SIZE;
+    let unbounded = f64::INFINITY;
     let rows = [
         (
             "steady_bytes",
@@ -90,24 +101,14 @@
             "crash_suspected_last",
             "ms",
             full.ln(),
-            f64::INFINITY,
-            &logarithm,
-        ),
-        (
-            "crash_dead_last",
-            "ms",
-            full.ln(),
-            f64::INFINITY,
-            &logarithm,
-        ),
-        ("herd_dead_last", "ms", full.ln(), f64::INFINITY, &logarithm),
-        (
-            "herd_return_agreed",
-            "ms",
-            full.ln(),
-            f64::INFINITY,
+            unbounded,
             &logarithm,
         ),
+        ("crash_dead_last", "ms", full.ln(), unbounded, &logarithm),
+        ("herd_dead_last", "ms", full.ln(), unbounded, &logarithm),
+        ("herd_return_agreed", "ms", full.ln(), unbounded, &logarithm),
+        ("restart_all_agreed", "ms", full.ln(), unbounded, &logarithm),
+        ("regions_met_agreed", "ms", full.ln(), unbounded, &logarithm),
     ];
     for (name, unit, at, bound, scale) in rows {
         let points: Vec<[f64; 2]> = FLEETS
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -40,6 +40,7 @@
 mod membership_fleet;
 mod membership_node;
 mod membership_pair;
+mod membership_processes;
 mod membership_run;
 mod membership_traffic;
 mod metered_platform;
@@ -100,6 +101,7 @@
     membership_fleet::{MembershipFleet, MembershipSight},
     membership_node::MembershipNode,
     membership_pair::{MembershipPair, fill, member},
+    membership_processes::MembershipProcesses,
     membership_run::MembershipRun,
     membership_traffic::MembershipTraffic,
     metered_platform::MeteredPlatform,
--- a/crates/bench/src/membership_fleet.rs
+++ b/crates/bench/src/membership_fleet.rs
@@ -45,6 +45,8 @@
     pub nodes: Vec<Option<MembershipNode>>,
     /// The changes of state seen.
     pub sights: Vec<MembershipSight>,
+    /// How long the store takes to answer.
+    pub store_delay: Duration,
     /// Reads of seed rows.
     pub store_reads: usize,
     /// Writes of seed rows.
@@ -55,6 +57,7 @@
     random: fastrand::Rng,
     rows: BTreeMap<(String, u8), SeedRow>,
     started: Instant,
+    store_answers: Vec<(Instant, usize, MembershipEvent)>,
 }
 
 impl MembershipFleet {
@@ -75,6 +78,8 @@
             rows: BTreeMap::new(),
             sights: Vec::new(),
             started: Instant::now(),
+            store_answers: Vec::new(),
+            store_delay: Duration::ZERO,
             store_reads: 0,
             store_writes: 0,
         }
@@ -83,19 +88,46 @@
     /// Returns whether all nodes see just the running ones as living.
     #[must_use]
     pub fn agrees(&self) -> bool {
-        let running = self.nodes.iter().flatten().count();
-        let mut views = self.nodes.iter().flatten();
-        let Some(first) = views.next() else {
+        self.agrees_among(&(0..self.nodes.len()).collect::<Vec<_>>())
+    }
+
+    /// Returns whether the nodes at some places see just each other as living.
+    #[must_use]
+    pub fn agrees_among(&self, places: &[usize]) -> bool {
+        let running = places
+            .iter()
+            .filter_map(|place| self.nodes[*place].as_ref());
+        let running: Vec<&MembershipNode> = running.collect();
+        let Some(first) = running.first() else {
             return true;
         };
         let digest = first.core.view_digest();
-        let is_true = self.nodes.iter().flatten().all(|node| {
+        let is_true = running.iter().all(|node| {
             let member = first.core.member(node.instance());
             member.is_some_and(|member| member.state.is_living())
         });
         is_true
-            && first.core.living() == running
-            && views.all(|node| node.core.view_digest() == digest)
+            && first.core.living() == running.len()
+            && running.iter().all(|node| node.core.view_digest() == digest)
+    }
+
+    /// Cuts the first `boundary` places from the others.
+    pub fn part(&mut self, boundary: usize) {
+        for place in 0..self.nodes.len() {
+            let others =
+                (0..self.nodes.len()).filter(|other| (*other < boundary) != (place < boundary));
+            let cut_off = others.map(|other| self.address(other)).collect();
+            if let Some(node) = self.nodes[place].as_mut() {
+                node.cut_off = cut_off;
+            }
+        }
+    }
+
+    /// Lets all nodes reach each other again.
+    pub fn heal(&mut self) {
+        for node in self.nodes.iter_mut().flatten() {
+            node.cut_off.clear();
+        }
     }
 
     /// Starts a life at a place, with an upstream and an interest in two services.
@@ -167,10 +199,19 @@
 
     /// Lets the fleet run until views agree and returns the time that took, if they do in time.
     pub fn run_until_agreed(&mut self, limit: Duration) -> Option<Duration> {
+        self.run_until(limit, Self::agrees)
+    }
+
+    /// Lets the fleet run until a condition holds and returns the time that took, if it does in time.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        holds: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
         let started = Instant::now();
         while started.elapsed() < limit {
             self.run(COMPARE_INTERVAL);
-            if self.agrees() {
+            if holds(self) {
                 return Some(started.elapsed());
             }
         }
@@ -210,7 +251,8 @@
                         rows,
                         system_now: SystemTime::UNIX_EPOCH + self.started.elapsed(),
                     };
-                    self.event(place, event);
+                    let due = Instant::now() + self.store_delay;
+                    self.store_answers.push((due, place, event));
                 }
                 MembershipAction::Send { .. } | MembershipAction::ServiceChanged { .. } => {}
                 MembershipAction::WriteSeedRow { replaces, row } => {
@@ -231,6 +273,10 @@
 
     fn poll(&mut self) {
         let now = Instant::now();
+        let answers = self.store_answers.extract_if(.., |answer| answer.0 <= now);
+        for (_, place, event) in answers.collect::<Vec<_>>() {
+            self.event(place, event);
+        }
         for place in 0..self.nodes.len() {
             let Some(node) = self.nodes[place].as_mut() else {
                 continue;
--- a/crates/bench/src/membership_node.rs
+++ b/crates/bench/src/membership_node.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeSet,
     io::ErrorKind,
     net::UdpSocket,
     time::{Duration, Instant},
@@ -19,6 +20,8 @@
 pub struct MembershipNode {
     /// The core.
     pub core: Membership,
+    /// The addresses that the node's datagrams don't reach.
+    pub cut_off: BTreeSet<Address>,
     /// The share of datagrams that are dropped before they are sent, in percent.
     pub lost_percent: u32,
     /// When the node goes on after a pause, if it is paused.
@@ -42,6 +45,7 @@
         socket.set_nonblocking(true).expect("set non-blocking");
         Self {
             core: Membership::new(settings, member, seed, Instant::now()),
+            cut_off: BTreeSet::new(),
             key: key.clone(),
             lost_percent: 0,
             paused_until: None,
@@ -132,7 +136,8 @@
         assert!(sealed.len() <= Datagram::MAX_BYTES, "{message:?}");
         self.traffic.sent_bytes += sealed.len() + Datagram::FRAMING_BYTES;
         self.traffic.sent_messages += 1;
-        if self.random.u32(..100) >= self.lost_percent {
+        let is_lost = self.random.u32(..100) < self.lost_percent;
+        if !is_lost && !self.cut_off.contains(&address) {
             let _ = self.socket.send_to(&sealed, address);
         }
     }
--- a/crates/bench/src/membership_run.rs
+++ b/crates/bench/src/membership_run.rs
@@ -4,6 +4,9 @@
 
 use crate::{Figures, membership_fleet::MembershipFleet, membership_traffic::MembershipTraffic};
 
+/// How long a fleet without news runs before steady figures are taken.
+const SETTLING: Duration = Duration::from_secs(15);
+
 /// How long steady figures are taken.
 const STEADY: Duration = Duration::from_secs(10);
 
@@ -13,6 +16,9 @@
 /// How long the fleet runs while a tenth of messages are lost.
 const LOSSY: Duration = Duration::from_secs(15);
 
+/// How long a slow store takes to answer.
+const SLOW_STORE: Duration = Duration::from_secs(1);
+
 /// How long a paused daemon stands still.
 const PAUSE: Duration = Duration::from_secs(5);
 
@@ -65,7 +71,9 @@
         run.pause();
         run.crash();
         let herd = run.kill_herd();
-        run.return_herd(&herd);
+        run.return_herd("herd_return", &herd);
+        run.restart_all();
+        run.part();
         run.figures
     }
 
@@ -109,6 +117,7 @@
             self.fleet.run(Duration::from_millis(100));
         }
         self.add("quiet_after", millis(began.elapsed()), "ms");
+        self.fleet.run(SETTLING);
         let before = self.fleet.traffic();
         let reads = self.fleet.store_reads;
         self.fleet.run(STEADY);
@@ -251,25 +260,58 @@
         herd
     }
 
-    fn return_herd(&mut self, herd: &[usize]) {
-        self.fleet.run(Duration::from_secs(2));
+    /// Restarts all daemons together while the store is slow.
+    fn restart_all(&mut self) {
+        let all: Vec<usize> = (0..self.size).collect();
+        for place in &all {
+            self.fleet.crash(*place);
+        }
+        self.fleet.store_delay = SLOW_STORE;
+        self.return_herd("restart_all", &all);
+        self.fleet.store_delay = Duration::ZERO;
+    }
+
+    /// Cuts the fleet into two regions until each holds the other dead, and lets them meet again.
+    fn part(&mut self) {
+        let boundary = self.size / 3;
+        self.fleet.part(boundary);
+        let sides: [Vec<usize>; 2] = [(0..boundary).collect(), (boundary..self.size).collect()];
+        let apart = self.fleet.run_until(PATIENCE, |fleet| {
+            sides.iter().all(|side| fleet.agrees_among(side))
+        });
+        self.add_agreement("regions_apart", apart);
+        let since = self.mark();
+        let before = self.fleet.traffic();
+        self.fleet.heal();
+        let took = self.fleet.run_until_agreed(PATIENCE);
+        self.add_agreement("regions_met", took);
+        let spent = difference(&before, &self.fleet.traffic());
+        self.add_herd_bytes("regions_met", &spent, took);
+        let sights = self.fleet.sights[since.0..].iter();
+        let deaths = sights.filter(|sight| sight.state == MemberState::Dead);
+        let deaths = count(deaths.count());
+        self.add_bounded("regions_met_false_deaths", deaths, "deaths", 0.0);
+    }
+
+    fn return_herd(&mut self, name: &str, herd: &[usize]) {
         let before = self.fleet.traffic();
         let (reads, writes) = (self.fleet.store_reads, self.fleet.store_writes);
         for place in herd {
             self.fleet.begin(*place);
         }
         let took = self.fleet.run_until_agreed(PATIENCE);
-        self.add_agreement("herd_return", took);
+        self.add_agreement(name, took);
         let spent = difference(&before, &self.fleet.traffic());
-        self.add_herd_bytes("herd_return", &spent, took);
+        self.add_herd_bytes(name, &spent, took);
         let seconds = took.unwrap_or(PATIENCE).as_secs_f64();
         let most = spent.iter().map(|traffic| traffic.state_requests).max();
         let requests = count(most.unwrap_or_default()) / seconds;
-        self.add_bounded("herd_requests_peer", requests, "1/s", HERD_REQUESTS_PER_S);
+        let peer = format!("{name}_requests_peer");
+        self.add_bounded(&peer, requests, "1/s", HERD_REQUESTS_PER_S);
         let reads = count(self.fleet.store_reads - reads) / count(herd.len());
-        self.add("herd_store_reads_each", reads, "reads");
+        self.add(&format!("{name}_store_reads_each"), reads, "reads");
         let writes = count(self.fleet.store_writes - writes);
-        self.add("herd_store_writes", writes, "writes");
+        self.add(&format!("{name}_store_writes"), writes, "writes");
     }
 
     fn add_agreement(&mut self, name: &str, took: Option<Duration>) {
--- a/crates/membership/src/detailing.rs
+++ b/crates/membership/src/detailing.rs
@@ -65,6 +65,7 @@
             is_changed |= interest.put(detail);
         }
         if is_changed {
+            self.hasten_interest(key, now);
             actions.push(MembershipAction::ServiceChanged { service: key });
         }
     }
--- a/crates/membership/src/gossip_queue.rs
+++ b/crates/membership/src/gossip_queue.rs
@@ -25,6 +25,11 @@
 }
 
 impl GossipQueue {
+    pub(crate) fn has_urgent(&self) -> bool {
+        let first = self.by_rank.first_key_value();
+        first.is_some_and(|(rank, _)| !rank.ordinary)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.by_rank.is_empty()
     }
--- a/crates/membership/src/gossiping.rs
+++ b/crates/membership/src/gossiping.rs
@@ -7,6 +7,9 @@
 /// The bytes of words in a datagram of news: 1,200 less the envelope.
 pub(crate) const ROOM_BYTES: usize = 1_020;
 
+/// The bytes of words in a datagram of ordinary news, so that many changes at once leave more evenly.
+const ORDINARY_ROOM_BYTES: usize = 500;
+
 /// The bytes of words on a ping or its answer.
 const PIGGYBACK_BYTES: usize = 400;
 
@@ -17,7 +20,7 @@
 const URGENT_DELAY: Duration = Duration::from_millis(20);
 
 /// The share of the byte allowance that is kept back for urgent news.
-const URGENT_SHARE: f64 = 0.5;
+const URGENT_SHARE: f64 = 0.75;
 
 impl Membership {
     pub(crate) fn advance_gossip(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
@@ -41,7 +44,12 @@
         if copies == 0 {
             return;
         }
-        let words = self.take_words(ROOM_BYTES, copies, now);
+        let room_bytes = if self.gossip.has_urgent() {
+            ROOM_BYTES
+        } else {
+            ORDINARY_ROOM_BYTES
+        };
+        let words = self.take_words(room_bytes, copies, now);
         if words.is_empty() {
             return;
         }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -114,7 +114,9 @@
                 message,
                 sender,
             } => {
-                self.meet(&sender, incarnation, address, actions);
+                if !matches!(message, Message::Gossip { .. }) {
+                    self.meet(&sender, incarnation, address, actions);
+                }
                 self.receive(now, address, &sender, message, actions);
             }
             MembershipEvent::SeedRowsRead {
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -151,11 +151,12 @@
             self.counters.words_stale += 1;
             return;
         }
-        match (accusation.kind, record.accused) {
-            (AccusationKind::Dead, Some(AccusationKind::Suspect)) => {
-                self.bury(&accusation.instance, now, actions);
-            }
-            _ => self.suspect(&accusation.instance, accusation.accuser, now, actions),
+        let suspicion = self.suspicions.get(&accusation.instance);
+        let is_believable = suspicion.is_some_and(|suspicion| suspicion.is_old(now));
+        if accusation.kind == AccusationKind::Dead && is_believable {
+            self.bury(&accusation.instance, now, actions);
+        } else {
+            self.suspect(&accusation.instance, accusation.accuser, now, actions);
         }
     }
 
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// Returns whether the suspect has had time to refute, so that others may be believed its death.
+    ///
+    /// Where a cut heals, deaths are told of the living before they have heard that they are accused.
+    pub(crate) fn is_old(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) >= self.base / 2
+    }
+
     /// Returns the accuser heard last, whom this daemon names when it passes the accusation on.
     pub(crate) fn accuser(&self) -> u32 {
         self.accusers.last().copied().unwrap_or_default()
--- a/crates/membership/tests/membership/fleet.rs
+++ b/crates/membership/tests/membership/fleet.rs
@@ -45,12 +45,14 @@
     pub rows: BTreeMap<(String, u8), SeedRow>,
     pub settings: MembershipSettings,
     pub start: Instant,
+    pub store_delay: Duration,
     pub store_reads: usize,
     pub store_up: bool,
     pub store_writes: usize,
     pub zones: usize,
     queue: BTreeMap<(Instant, u64), (usize, usize, Incarnation, Message)>,
     queued: u64,
+    store_answers: Vec<(Instant, usize, MembershipEvent)>,
 }
 
 impl Fleet {
@@ -78,6 +80,8 @@
             rows: BTreeMap::new(),
             settings: MembershipSettings::default(),
             start: now,
+            store_answers: Vec::new(),
+            store_delay: Duration::ZERO,
             store_reads: 0,
             store_up: true,
             store_writes: 0,
@@ -228,6 +232,7 @@
         let end = self.now + duration;
         while self.now < end {
             self.now += STEP;
+            self.answer();
             self.deliver();
             for place in 0..self.places.len() {
                 self.wake(place);
@@ -262,7 +267,8 @@
                 } else {
                     MembershipEvent::SeedRowsUnavailable
                 };
-                self.event(place, event);
+                let due = self.now + self.store_delay;
+                self.store_answers.push((due, place, event));
             }
             MembershipAction::Send { address, message } => self.send(place, address, &message),
             MembershipAction::WriteSeedRow { replaces, row } => {
@@ -275,6 +281,15 @@
         }
     }
 
+    /// Hands on what the store answered.
+    fn answer(&mut self) {
+        let now = self.now;
+        let due = self.store_answers.extract_if(.., |answer| answer.0 <= now);
+        for (_, place, event) in due.collect::<Vec<_>>() {
+            self.event(place, event);
+        }
+    }
+
     /// Fails if a word of an old life overruled a newer one in the view at a place.
     fn check(&mut self, place: usize) {
         let held = &self.places[place];
