Find the winner of an overlap by the versions' rows

Cause: a refused change walked back through the lists of each version, one whole read each. Change: the rows' patches tell which version changed the entry; the walk is left for versions without a patch.

--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -277,13 +277,18 @@
         })
     }
 
-    /// Finds the newest version that changed an entry, by walking back from head.
+    /// Finds the newest version that changed an entry: by the versions' rows, or by walking back from
+    /// head through the lists.
     fn winner(
         &mut self,
         current: &Lists,
         head: ConfigVersion,
         key: &EntryKey,
     ) -> Result<ConfigVersion, CommitError> {
+        let found = history::newest_change(self.platform, self.change.base, head, key);
+        if let Some(version) = found.map_err(failed)? {
+            return Ok(version);
+        }
         let mut version = head;
         while version.0 > self.change.base.0 + 1 {
             let before = ConfigVersion(version.0 - 1);
--- a/crates/platform/src/history.rs
+++ b/crates/platform/src/history.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use medlarspool_config::{ConfigError, Lists, ListsPatch, Snapshot};
+use medlarspool_config::{ConfigError, EntryKey, Lists, ListsPatch, Snapshot};
 use medlarspool_types::{ChangeId, ConfigDigest, ConfigHead, ConfigVersion};
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -15,6 +15,8 @@
 pub(crate) const HEAD_KEY: &str = "config/head";
 /// The most versions after a checkpoint until the next one.
 pub(crate) const MAX_PATCHES: u64 = 100;
+/// The most versions whose rows are searched for the one that changed an entry.
+const MAX_SEARCHED_VERSIONS: u64 = 1000;
 /// The rows that are read besides those wanted, as newer versions come first.
 const SLACK_VERSIONS: usize = 1;
 /// What the keys of versions' rows start with.
@@ -155,6 +157,28 @@
     rows.collect()
 }
 
+/// Finds the newest version after one and up to another that changed an entry; `None` if the rows alone
+/// don't tell.
+pub(crate) fn newest_change(
+    platform: &dyn Platform,
+    after: ConfigVersion,
+    last: ConfigVersion,
+    key: &EntryKey,
+) -> Result<Option<ConfigVersion>, PlatformError> {
+    if last.0.saturating_sub(after.0) > MAX_SEARCHED_VERSIONS {
+        return Ok(None);
+    }
+    for row in rows_between(platform, after, last)?.iter().rev() {
+        let Some(patch) = &row.patch else {
+            return Ok(None);
+        };
+        if patch.keys().any(|changed| changed == *key) {
+            return Ok(Some(row.record.head.version));
+        }
+    }
+    Ok(None)
+}
+
 /// Joins the changes of consecutive versions; `None` if one of them is too large for its row.
 fn joined(rows: &[VersionRow]) -> Option<ListsPatch> {
     let patches: Option<Vec<&ListsPatch>> = rows.iter().map(|row| row.patch.as_ref()).collect();
--- a/crates/platform/tests/commit.rs
+++ b/crates/platform/tests/commit.rs
@@ -101,6 +101,23 @@
     );
 }
 
+#[test]
+fn the_winner_is_found_without_reading_the_lists_again() {
+    let platform = FakePlatform::default();
+    commit(&platform, &change("1", 0, &[("a", "guest")])).expect("first");
+    commit(&platform, &change("2", 1, &[("a", "observer")])).expect("second");
+    for version in 3..=50 {
+        let id = version.to_string();
+        let asked = change(&id, version - 1, &[("a", "observer"), (&id, "guest")]);
+        commit(&platform, &asked).expect("accepted");
+    }
+    let before = platform.counts().reads;
+    let lost = commit(&platform, &change("lost", 1, &[]));
+    assert!(matches!(lost, Err(CommitError::Conflict { winner, .. }) if winner.0 == 2));
+    let reads = platform.counts().reads - before;
+    assert_eq!(reads, 8, "base 2, head, change, newest 3, rows 1");
+}
+
 #[test]
 fn edits_that_clash_only_together_name_both() {
     let platform = FakePlatform::default();
