Measure the policies at the size of two years

Cause: at 5,800 daemons an entry sees little of each upstream; it was open whether the choice holds. Change: a large deployment in the model: 23 upstreams, 14 zones, 232 entries.

--- a/crates/bench/benches/calls_policy.rs
+++ b/crates/bench/benches/calls_policy.rs
@@ -32,6 +32,12 @@
     CallsPolicies::UNBOUNDED_RETRY,
     CallsPolicies::CHOSEN,
 ];
+/// For the large deployment, whose runs take longest.
+const FEW_POLICIES: [CallsPolicies; 3] = [
+    CallsPolicies::BASELINE,
+    CallsPolicies::RANDOM_CHOICE,
+    CallsPolicies::CHOSEN,
+];
 const DEPTH: usize = 8;
 const ROOTS: u32 = 20_000;
 
@@ -42,17 +48,9 @@
 
 fn main() -> ExitCode {
     let mut missed: Vec<String> = Vec::new();
-    for deployment in [CallsDeployment::trust(), CallsDeployment::atlas()] {
-        for load in LOADS_PERCENT {
-            measure(&deployment, CallsFault::None, load, &mut missed);
-        }
-        measure(&deployment, CallsFault::Flood, 300, &mut missed);
-        for fault in FAULTS {
-            for load in FAULT_LOADS_PERCENT {
-                measure(&deployment, fault, load, &mut missed);
-            }
-        }
-    }
+    measure_all(&CallsDeployment::trust(), &POLICIES, &mut missed);
+    measure_all(&CallsDeployment::atlas(), &POLICIES, &mut missed);
+    measure_all(&CallsDeployment::large(), &FEW_POLICIES, &mut missed);
     amplify(&mut missed);
     if missed.is_empty() {
         println!("bound: held");
@@ -62,13 +60,26 @@
     ExitCode::FAILURE
 }
 
+fn measure_all(deployment: &CallsDeployment, policies: &[CallsPolicies], missed: &mut Vec<String>) {
+    for load in LOADS_PERCENT {
+        measure(deployment, policies, CallsFault::None, load, missed);
+    }
+    measure(deployment, policies, CallsFault::Flood, 300, missed);
+    for fault in FAULTS {
+        for load in FAULT_LOADS_PERCENT {
+            measure(deployment, policies, fault, load, missed);
+        }
+    }
+}
+
 fn measure(
     deployment: &CallsDeployment,
+    policies: &[CallsPolicies],
     fault: CallsFault,
     load_percent: u32,
     missed: &mut Vec<String>,
 ) {
-    for policies in POLICIES {
+    for &policies in policies {
         let mut report = CallsReport::default();
         for seed in SEEDS {
             report.add(&CallsModel::run(CallsScenario {
--- a/crates/bench/src/calls_deployment.rs
+++ b/crates/bench/src/calls_deployment.rs
@@ -12,6 +12,8 @@
 /// The size and speeds of a modelled deployment.
 #[derive(Clone, Debug)]
 pub struct CallsDeployment {
+    /// The daemons that send calls; the first stand beside the upstreams, in order.
+    pub entries: usize,
     /// The time between zones, one way.
     pub link: Duration,
     /// What the figures are called by.
@@ -40,6 +42,17 @@
         Self::new("atlas", &[4, 5, 4, 5], 9, 4, Duration::from_micros(500))
     }
 
+    /// One service of the size in two years, and the 232 daemons of 5,800 that call it if each calls
+    /// ten of the 250 services: 23 upstreams with 9 slots, over 14 zones.
+    #[must_use]
+    pub fn large() -> Self {
+        let link = Duration::from_micros(750);
+        Self {
+            entries: 232,
+            ..Self::new("large", &[23], 9, 14, link)
+        }
+    }
+
     /// Returns the runs that a service's upstreams end in a second.
     #[must_use]
     pub fn runs_per_second(&self, service: usize) -> f64 {
@@ -63,6 +76,7 @@
         let mut service = |size: &usize| (0..*size).map(|_| upstream()).collect();
         let services = sizes.iter().map(&mut service).collect();
         Self {
+            entries: sizes.iter().sum(),
             link,
             name,
             services,
--- a/crates/bench/src/calls_model.rs
+++ b/crates/bench/src/calls_model.rs
@@ -69,9 +69,9 @@
         let services: Vec<ServiceName> = (0..scenario.deployment.services.len())
             .map(|service| name(&format!("s{service}")))
             .collect();
-        let entries = upstreams
-            .iter()
-            .map(|beside| Entry::new(&scenario, &services, &upstreams, beside.zone(), start));
+        let zones = scenario.deployment.zones;
+        let entries = (0..scenario.deployment.entries)
+            .map(|number| Entry::new(&scenario, &services, &upstreams, number % zones, start));
         Self {
             draws: CallsDraws::new(scenario.seed),
             entries: entries.collect(),
