Prove that the newest winner is named

Cause: naming the oldest version that changed the entry went unnoticed by the tests. Change: a test with two later versions; it fails with the order reversed.

--- a/crates/platform/tests/commit.rs
+++ b/crates/platform/tests/commit.rs
@@ -101,6 +101,19 @@
     );
 }
 
+#[test]
+fn of_several_winners_the_newest_is_named() {
+    let platform = FakePlatform::default();
+    commit(&platform, &change("1", 0, &[("a", "guest")])).expect("first");
+    commit(&platform, &change("2", 1, &[("a", "observer")])).expect("second");
+    commit(&platform, &change("3", 2, &[])).expect("third");
+    let lost = commit(
+        &platform,
+        &change("lost", 1, &[("a", "observer"), ("b", "guest")]),
+    );
+    assert!(matches!(lost, Err(CommitError::Conflict { winner, .. }) if winner.0 == 3));
+}
+
 #[test]
 fn the_winner_is_found_without_reading_the_lists_again() {
     let platform = FakePlatform::default();
