--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -352,7 +352,11 @@
     }
 
     fn peers_changed(&mut self, now: Instant, peers: Vec<SpreadPeer>) {
+        let knew_nobody = self.peers.len() == 0;
         self.peers.replace(peers);
+        if knew_nobody {
+            self.next_digest = now;
+        }
         let interval = self.interval();
         self.poll.shorten(now, interval, &mut self.random);
     }
--- a/crates/spread/tests/fleet/mod.rs
+++ b/crates/spread/tests/fleet/mod.rs
@@ -88,6 +88,8 @@
     pub fn start(&mut self, at: usize) {
         let seed = self.random.u64(..);
         self.nodes[at].start(self.settings.clone(), seed, self.now);
+        // A process begins before it hears of its peers.
+        self.give(at, SpreadEvent::Tick);
         self.announce_peers();
     }
 
--- a/crates/spread/tests/spreading.rs
+++ b/crates/spread/tests/spreading.rs
@@ -128,9 +128,17 @@
     assert!(fleet.all_hold(head));
 }
 
-#[test]
-fn a_third_that_returns_together_neither_floods_peers_nor_store() {
-    let mut fleet = settled(90, 3, SpreadSettings::default());
+#[rstest]
+#[case::convergence(SpreadPreference::Convergence)]
+#[case::control_bytes(SpreadPreference::ControlBytes)]
+fn a_third_that_returns_together_neither_floods_peers_nor_store(
+    #[case] preference: SpreadPreference,
+) {
+    let settings = SpreadSettings {
+        join_spread: Duration::from_millis(300),
+        ..SpreadSettings::for_preference(preference)
+    };
+    let mut fleet = settled(90, 3, settings);
     (0..30).for_each(|at| fleet.kill(at));
     let head = fleet.store.commit();
     fleet.run(5 * SECOND);
