Count the cost of joining from the first start

Cause: joining was charged with the bytes since each process began but only with the time since the last one was ready, so its rates were far too high. Change: both are counted from the first daemon's start. Conclusion: the rates of joining printed before this commit are not valid.

--- a/crates/bench/benches/daemon_cost.rs
+++ b/crates/bench/benches/daemon_cost.rs
@@ -3,7 +3,7 @@
 //! `cargo bench -p medlarspool-bench --bench daemon_cost [-- SIZE...]`. The bounds are the stated ones for
 //! two years out, at the size to which the fit is extended. See docs/CAPACITY.md.
 
-use std::process::ExitCode;
+use std::{process::ExitCode, time::Instant};
 
 use medlarspool_bench::{
     DaemonCost, Figures, LinearFit, ProcessFleet, SampleLists, daemon_cost_fleet, program_paths,
@@ -133,6 +133,7 @@
     let mut fleet = ProcessFleet::start(program_paths!())?;
     let mut lists = SampleLists::new(customers, SEED);
     fleet.commit(lists.lists())?;
+    let started_at = Instant::now();
     daemon_cost_fleet(&mut fleet, daemons)?;
     let mut show = |phase: &str, cost: &DaemonCost| {
         let name = format!("{daemons}_daemons_{customers}_customers_{phase}");
@@ -153,7 +154,7 @@
             "requests_per_s",
         );
     };
-    show("joining", &DaemonCost::joining(&fleet, 1)?);
+    show("joining", &DaemonCost::joining(&fleet, started_at, 1)?);
     show("idle", &DaemonCost::idle(&fleet)?);
     let changing = DaemonCost::changing(&fleet, &mut lists)?;
     show("changing", &changing);
--- a/crates/bench/src/daemon_cost.rs
+++ b/crates/bench/src/daemon_cost.rs
@@ -58,13 +58,16 @@
         })
     }
 
-    /// Measures from now until all daemons hold a version, which is how a start costs.
+    /// Measures from the first daemon's start until all hold a version.
     ///
     /// # Errors
     ///
     /// Returns which daemon doesn't get there.
-    pub fn joining(fleet: &ProcessFleet, version: u64) -> Result<Self, String> {
-        let started_at = Instant::now();
+    pub fn joining(
+        fleet: &ProcessFleet,
+        started_at: Instant,
+        version: u64,
+    ) -> Result<Self, String> {
         wait_for_version(fleet, version)?;
         let end = Totals::of(fleet)?;
         Ok(Totals::default().cost(&end, fleet.daemons.len(), started_at.elapsed()))
