--- /dev/null
+++ b/crates/bench/src/figure_file.rs
@@ -0,0 +1,65 @@
+use std::{collections::BTreeMap, fmt::Write};
+
+/// The figures that a bench printed, read back by name.
+#[derive(Clone, Debug, Default)]
+pub struct FigureFile {
+    figures: BTreeMap<String, PrintedFigure>,
+}
+
+#[derive(Clone, Debug)]
+struct PrintedFigure {
+    unit: String,
+    value: f64,
+}
+
+impl FigureFile {
+    /// Reads the `name value unit` lines of a bench's output; other lines are passed over.
+    #[must_use]
+    pub fn parse(output: &str) -> Self {
+        let figures = output.lines().filter_map(|line| {
+            let mut words = line.split(' ');
+            let (name, value, unit) = (words.next()?, words.next()?, words.next()?);
+            let value = value.parse().ok()?;
+            let unit = unit.to_owned();
+            Some((name.to_owned(), PrintedFigure { unit, value }))
+        });
+        Self {
+            figures: figures.collect(),
+        }
+    }
+
+    /// Returns the figures as CSV with a line of column names.
+    #[must_use]
+    pub fn csv(&self) -> String {
+        let mut csv = String::from("name,value,unit\n");
+        for (name, figure) in &self.figures {
+            writeln!(csv, "{name},{},{}", figure.value, figure.unit)
+                .expect("a string can be written to");
+        }
+        csv
+    }
+
+    /// Returns whether there is no figure.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.figures.is_empty()
+    }
+
+    /// Returns the figures whose names start and end so, with what stands between.
+    pub fn between<'file>(
+        &'file self,
+        start: &'file str,
+        end: &'file str,
+    ) -> impl Iterator<Item = (&'file str, f64)> {
+        self.figures.iter().filter_map(move |(name, figure)| {
+            let middle = name.strip_prefix(start)?.strip_suffix(end)?;
+            Some((middle, figure.value))
+        })
+    }
+
+    /// Returns one figure's value.
+    #[must_use]
+    pub fn value(&self, name: &str) -> Option<f64> {
+        self.figures.get(name).map(|figure| figure.value)
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -29,10 +29,12 @@
 mod convergence_run;
 mod convergence_store;
 mod convergence_way;
+mod curve_chart;
 mod daemon_cost;
 mod daemon_cost_fleet;
 mod daemon_spec;
 mod figure;
+mod figure_file;
 mod figures;
 mod linear_fit;
 mod local_daemon;
@@ -90,10 +92,12 @@
     convergence_run::{ConvergenceRun, link_name},
     convergence_store::ConvergenceStore,
     convergence_way::ConvergenceWay,
+    curve_chart::{CurveChart, CurvePoint, CurveSeries},
     daemon_cost::{DaemonCost, wait_for_version},
     daemon_cost_fleet::daemon_cost_fleet,
     daemon_spec::{DaemonSpec, FLEET_KEY, OPERATOR_TOKEN, PLATFORM_TOKEN},
     figure::Figure,
+    figure_file::FigureFile,
     figures::Figures,
     linear_fit::LinearFit,
     local_daemon::{LocalDaemon, wait_until_ready},
