--- a/crates/bench/src/overnight_callers.rs
+++ b/crates/bench/src/overnight_callers.rs
@@ -10,7 +10,7 @@
 
 use fastrand::Rng;
 
-use crate::{CallerReply, OvernightKind, OvernightRequest};
+use crate::{CallerReply, OvernightKind, OvernightRequest, epoch_ms};
 
 /// The most sends of one request.
 const MAX_SENDS: u32 = 6;
@@ -105,6 +105,7 @@
         let mut request = OvernightRequest {
             garbled: false,
             id,
+            key: idempotency_key(&mut self.random),
             kind,
             never_ran: true,
             ran: false,
@@ -131,7 +132,10 @@
                 CallerReply::get_with(&url, &self.credential, &[("x-request-id", id)])
             }
             OvernightKind::Keyed => {
-                let headers = [("x-request-id", id), ("idempotency-key", id)];
+                let headers = [
+                    ("x-request-id", id),
+                    ("idempotency-key", request.key.as_str()),
+                ];
                 CallerReply::post(&url, &self.credential, &headers, id)
             }
             OvernightKind::Once => {
@@ -141,6 +145,16 @@
     }
 }
 
+/// Draws a UUID of version 7, which carries the time at which it was made.
+fn idempotency_key(random: &mut Rng) -> String {
+    let time = epoch_ms();
+    let [first, second] = [time >> 16, time & 0xffff];
+    let third = random.u16(..0x1000);
+    let fourth = 0x8000 | random.u16(..0x4000);
+    let fifth = random.u64(..1 << 48);
+    format!("{first:08x}-{second:04x}-7{third:03x}-{fourth:04x}-{fifth:012x}")
+}
+
 /// Takes in one reply, or its absence, and returns whether the caller sends again.
 fn judge(request: &mut OvernightRequest, reply: Option<&CallerReply>) -> bool {
     let Some(reply) = reply else {
--- a/crates/bench/src/overnight_request.rs
+++ b/crates/bench/src/overnight_request.rs
@@ -7,6 +7,8 @@
     pub garbled: bool,
     /// The request's id, as upstreams note it.
     pub id: String,
+    /// The idempotency key, which is sent only with a keyed request.
+    pub key: String,
     /// The kind.
     pub kind: OvernightKind,
     /// Whether every send got an answer and every answer said `not-run`.
--- /dev/null
+++ b/crates/bench/tests/overnight_short.rs
@@ -0,0 +1,17 @@
+//! A short night under all faults; counts alone decide.
+
+use medlarspool_bench::{OvernightPlan, OvernightRun, program_paths};
+
+const SEED: u64 = 3;
+
+#[test]
+fn no_promise_is_broken_in_a_short_night() {
+    let run = OvernightRun::start(OvernightPlan::short(SEED), program_paths!());
+    let report = run.and_then(OvernightRun::run).expect("the night ends");
+    for promise in report.promises() {
+        println!("{promise}");
+        assert_eq!(promise.broken, 0, "{promise}");
+    }
+    assert!(report.versions.looks > 0);
+    assert!(report.requests.iter().any(|request| request.ran));
+}
