--- /dev/null
+++ b/crates/bench/benches/calls.rs
@@ -0,0 +1,231 @@
+//! What the fleet adds to a call, and what it answers under load, with separate processes.
+//!
+//! `cargo bench -p medlarspool-bench --bench calls`. Requests arrive on schedule. The time added is
+//! the difference to the same load sent straight to the upstreams, in the same run. The bound is
+//! the stated one. See docs/design/daemon.md.
+
+use std::{process::ExitCode, thread, time::Duration};
+
+use medlarspool_bench::{
+    CallLoad, CallLoadResult, Figures, ProcessFleet, UpstreamBehaviour, program_paths,
+};
+
+const CREDENTIAL: &str = "bench-credential";
+
+/// The stated calls a second of one daemon.
+const CALLS_A_DAEMON_PER_S: f64 = 65.0;
+
+/// The most that the fleet may add to a call, for 99 in 100.
+const MAX_ADDED_MS: f64 = 0.4;
+
+/// The least share of what the capacity allows that is answered, in parts of 1.
+const MIN_ANSWERED_SHARE: f64 = 0.95;
+
+/// A share above this is a fault of the measurement: slots can't answer more than they hold.
+const MAX_SHARE: f64 = 1.05;
+
+/// Rounds of the load, straight and through the fleet in turn, so that both see the same machine.
+const ROUNDS: usize = 3;
+
+const ROUND: Duration = Duration::from_secs(4);
+const OVERLOAD: Duration = Duration::from_secs(6);
+const SERVICE_TIME: Duration = Duration::from_millis(1);
+
+/// How long callers wait under overload.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Services with their upstreams, for each deployment.
+const DEPLOYMENTS: [(&str, [(&str, usize); 4]); 2] = [
+    (
+        "trust",
+        [
+            ("alerts", 3),
+            ("bookings", 4),
+            ("sightings", 5),
+            ("sky-map", 6),
+        ],
+    ),
+    (
+        "atlas",
+        [
+            ("alerts", 4),
+            ("bookings", 4),
+            ("sightings", 5),
+            ("sky-map", 5),
+        ],
+    ),
+];
+
+/// The times that a request takes at the upstreams of the overloaded service.
+const UNEQUAL_TIMES_MS: [u64; 4] = [50, 50, 100, 200];
+
+const SLOTS: f64 = 6.0;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(figures) if figures.print_bound() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("calls: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<Figures, String> {
+    let mut figures = Figures::default();
+    for (name, services) in DEPLOYMENTS {
+        figures.extend(time_added(name, &services)?);
+    }
+    figures.extend(overload()?);
+    figures.print();
+    Ok(figures)
+}
+
+fn time_added(name: &str, services: &[(&str, usize)]) -> Result<Figures, String> {
+    let mut fleet = ProcessFleet::start(program_paths!())?;
+    for (service, upstreams) in services {
+        for number in 0..*upstreams {
+            let zone = format!("zone-{}", number % 3);
+            fleet.add(&zone, service, UpstreamBehaviour::Plain, SERVICE_TIME)?;
+        }
+    }
+    let names: Vec<&str> = services.iter().map(|(service, _)| *service).collect();
+    ready(&fleet, &names)?;
+    let straight = load(straight_urls(&fleet), fleet.daemons.len());
+    let through = load(through_urls(&fleet, &names), fleet.daemons.len());
+    let mut results = [CallLoadResult::default(), CallLoadResult::default()];
+    for _ in 0..ROUNDS {
+        results[0].add(straight.run()?);
+        results[1].add(through.run()?);
+    }
+    let mut figures = Figures::default();
+    for (way, result) in ["straight", "through"].iter().zip(&results) {
+        for (label, quantile) in [("median", 0.5), ("99_in_100", 0.99)] {
+            let time = result.quantile_ms(quantile);
+            figures.add(format!("{name}_{way}_{label}"), time, "ms");
+        }
+        figures.add(
+            format!("{name}_{way}_answered"),
+            count(result.answered()),
+            "count",
+        );
+        add_failures(&mut figures, &format!("{name}_{way}"), result);
+        let service_time_ms = SERVICE_TIME.as_secs_f64() * 1_000.0;
+        let missing = (service_time_ms - result.quantile_ms(0.5)).max(0.0);
+        figures.add_bounded(
+            format!("{name}_{way}_below_service_time"),
+            missing,
+            "ms",
+            0.0,
+        );
+    }
+    let added = |quantile| results[1].quantile_ms(quantile) - results[0].quantile_ms(quantile);
+    figures.add(format!("{name}_added_median"), added(0.5), "ms");
+    figures.add_bounded(
+        format!("{name}_added_99_in_100"),
+        added(0.99),
+        "ms",
+        MAX_ADDED_MS,
+    );
+    Ok(figures)
+}
+
+fn overload() -> Result<Figures, String> {
+    let mut fleet = ProcessFleet::start(program_paths!())?;
+    for time_ms in UNEQUAL_TIMES_MS {
+        let time = Duration::from_millis(time_ms);
+        fleet.add("zone-0", "alerts", UpstreamBehaviour::Plain, time)?;
+    }
+    ready(&fleet, &["alerts"])?;
+    let capacity: f64 = UNEQUAL_TIMES_MS
+        .iter()
+        .map(|time_ms| SLOTS / Duration::from_millis(*time_ms).as_secs_f64())
+        .sum();
+    let mut figures = Figures::default();
+    figures.add("capacity", capacity, "calls/s");
+    for percent in [50, 100, 300] {
+        let load = CallLoad {
+            duration: OVERLOAD,
+            patience: PATIENCE,
+            per_second: capacity * f64::from(percent) / 100.0,
+            senders: 1_000,
+            ..load(through_urls(&fleet, &["alerts"]), 1)
+        };
+        let result = load.run()?;
+        let name = format!("load_{percent}_percent");
+        let possible = capacity * (f64::from(percent) / 100.0).min(1.0);
+        let share = count(result.answered_in_time) / (possible * OVERLOAD.as_secs_f64());
+        figures.add(format!("{name}_answered_share"), share, "1");
+        figures.add(format!("{name}_median"), result.quantile_ms(0.5), "ms");
+        figures.add(format!("{name}_99_in_100"), result.quantile_ms(0.99), "ms");
+        figures.add(
+            format!("{name}_until_done"),
+            result.elapsed.as_secs_f64(),
+            "s",
+        );
+        let excess = (share - MAX_SHARE).max(0.0);
+        figures.add_bounded(format!("{name}_share_above_possible"), excess, "1", 0.0);
+        figures.add(format!("{name}_refused"), count(result.refused), "count");
+        add_failures(&mut figures, &name, &result);
+        if percent == 300 {
+            figures.add_bounded(
+                format!("{name}_unanswered_share"),
+                1.0 - share,
+                "1",
+                1.0 - MIN_ANSWERED_SHARE,
+            );
+        }
+    }
+    Ok(figures)
+}
+
+fn add_failures(figures: &mut Figures, name: &str, result: &CallLoadResult) {
+    figures.add_bounded(format!("{name}_wrong"), count(result.wrong), "count", 0.0);
+    figures.add(format!("{name}_lost"), count(result.lost), "count");
+    figures.add(format!("{name}_unknown"), count(result.unknown), "count");
+}
+
+fn load(urls: Vec<String>, daemons: usize) -> CallLoad {
+    let daemons_count = u32::try_from(daemons).unwrap_or(u32::MAX);
+    CallLoad {
+        credential: CREDENTIAL.into(),
+        duration: ROUND,
+        patience: Duration::from_secs(5),
+        per_second: CALLS_A_DAEMON_PER_S * f64::from(daemons_count),
+        senders: daemons * 2,
+        urls,
+    }
+}
+
+fn ready(fleet: &ProcessFleet, services: &[&str]) -> Result<(), String> {
+    fleet.put(0, CREDENTIAL, services)?;
+    for daemon in 0..fleet.daemons.len() {
+        for service in services {
+            fleet.call_until(daemon, &format!("/{service}/ready"), CREDENTIAL, 200)?;
+        }
+    }
+    thread::sleep(Duration::from_secs(5));
+    Ok(())
+}
+
+fn straight_urls(fleet: &ProcessFleet) -> Vec<String> {
+    let upstreams = fleet.daemons.iter().filter_map(|daemon| {
+        let upstream = daemon.upstream_settings.as_ref()?;
+        Some(format!("http://{}", upstream.address))
+    });
+    upstreams.collect()
+}
+
+fn through_urls(fleet: &ProcessFleet, services: &[&str]) -> Vec<String> {
+    let daemons = fleet.daemons.iter().enumerate();
+    let urls = daemons.map(|(number, daemon)| {
+        let service = services[number % services.len()];
+        format!("http://{}/{service}", daemon.settings.callers_address)
+    });
+    urls.collect()
+}
+
+fn count(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for what surrounds the fleet, and what the benches share; not shipped.
 
+mod call_load;
+mod call_load_result;
 mod caller_reply;
 mod calls_chain;
 mod calls_deployment;
@@ -73,6 +75,8 @@
 mod version_watch;
 
 pub use crate::{
+    call_load::CallLoad,
+    call_load_result::CallLoadResult,
     caller_reply::CallerReply,
     calls_chain::CallsChain,
     calls_deployment::{CallsDeployment, ModelUpstream},
--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -307,7 +307,7 @@
 }
 
 fn plans_yaml(uses: &[&str]) -> String {
-    let services = ["alerts", "sightings", "sky-map"].map(|service| {
+    let services = ["alerts", "bookings", "sightings", "sky-map"].map(|service| {
         format!("  - service: {service}\n    timeout_ms: 5000\n    max_request_bytes: 65536\n")
     });
     format!(
