--- a/crates/bench/benches/calls.rs
+++ b/crates/bench/benches/calls.rs
@@ -158,7 +158,9 @@
         let share = count(result.answered_in_time) / (possible * OVERLOAD.as_secs_f64());
         figures.add(format!("{name}_answered_share"), share, "1");
         figures.add(format!("{name}_median"), result.quantile_ms(0.5), "ms");
-        figures.add(format!("{name}_99_in_100"), result.quantile_ms(0.99), "ms");
+        let patience_ms = PATIENCE.as_secs_f64() * 1_000.0;
+        let longest = result.quantile_ms(0.99);
+        figures.add_bounded(format!("{name}_99_in_100"), longest, "ms", patience_ms);
         figures.add(
             format!("{name}_until_done"),
             result.elapsed.as_secs_f64(),
