State the two-year limits once for all benches

Requests to the administration address, callers' GET and POST, the timing of many changes and the return of a zone were also written twice. Change: `stated_limits.rs` holds the limits with their units; one function each serves the repeated code. No value, bound or assertion differs. Conclusion: a bound can only be changed in one place.

--- a/crates/bench/benches/commit.rs
+++ b/crates/bench/benches/commit.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use medlarspool_bench::{MeteredPlatform, SampleLists};
+use medlarspool_bench::{
+    CHANGES_A_DAY, MAX_STORE_READS_PER_S, MAX_STORE_WRITES_PER_S, MeteredPlatform, SampleLists,
+};
 use medlarspool_config::{EntryChange, ListsPatch, Snapshot};
 use medlarspool_platform::{
     Change, CommitError, CommitOutcome, commit, read_head, read_lists, read_snapshot,
@@ -11,14 +13,9 @@
 use medlarspool_types::ConfigVersion;
 
 const CHANGES: u32 = 202;
-const CHANGES_A_DAY: f64 = 12_000.0;
 const CHANGES_EACH: usize = 20;
 const CUSTOMERS: [usize; 3] = [1_000, 10_000, 100_000];
 const DAY_SECONDS: f64 = 86_400.0;
-/// A tenth of about 2,000 reads a second.
-const MAX_READS_PER_SECOND: f64 = 200.0;
-/// A tenth of several hundred writes a second.
-const MAX_WRITES_PER_SECOND: f64 = 30.0;
 const OPERATORS: [usize; 3] = [1, 4, 16];
 const SEED: u64 = 13;
 
@@ -84,9 +81,9 @@
         "commit_{customers}_customers_p99 {} us",
         commits.value_at_quantile(0.99)
     );
-    let per_second = writes * CHANGES_A_DAY / DAY_SECONDS;
+    let per_second = writes * f64::from(CHANGES_A_DAY) / DAY_SECONDS;
     println!("writes_{customers}_customers_at_12000_a_day {per_second:.3} per_second");
-    let too_many = per_second > MAX_WRITES_PER_SECOND;
+    let too_many = per_second > MAX_STORE_WRITES_PER_S;
     too_many
         .then(|| format!("writes_{customers}"))
         .into_iter()
@@ -122,13 +119,13 @@
         "race_{operators}_operators_reads_each {} count",
         reads / outcomes.len() as u64
     );
-    let per_second = ratio(reads, outcomes.len() as u64) * CHANGES_A_DAY / DAY_SECONDS;
+    let per_second = ratio(reads, outcomes.len() as u64) * f64::from(CHANGES_A_DAY) / DAY_SECONDS;
     println!("race_{operators}_operators_reads_at_12000_a_day {per_second:.2} per_second");
     let mut missed = Vec::new();
     if head.version.0 != accepted as u64 + 1 {
         missed.push(format!("one_version_each_{operators}"));
     }
-    if per_second > MAX_READS_PER_SECOND {
+    if per_second > MAX_STORE_READS_PER_S {
         missed.push(format!("reads_{operators}"));
     }
     missed
--- a/crates/bench/benches/convergence.rs
+++ b/crates/bench/benches/convergence.rs
@@ -6,7 +6,8 @@
 
 use medlarspool_bench::{
     ConvergenceFleet, ConvergenceLayout, ConvergenceRun, ConvergenceWay, Figures, LinearFit,
-    convergence_processes, program_paths,
+    MAX_CONTROL_BYTES_PER_S, MAX_STORE_READS_PER_S, TWO_YEARS_DAEMONS, convergence_processes,
+    program_paths,
 };
 use medlarspool_spread::{SpreadMode, SpreadPreference, SpreadSettings};
 
@@ -19,11 +20,6 @@
 const SEED: u64 = 7;
 const SIZES: [usize; 4] = [25, 50, 100, 200];
 const TODAY_DAEMONS: usize = 18;
-const TWO_YEARS_DAEMONS: f64 = 5_800.0;
-/// The most bytes of control in a second that a daemon may spend.
-const CONTROL_BOUND_BYTES: f64 = 18_000.0;
-/// A tenth of the store's reads in a second.
-const STORE_READS_BOUND: f64 = 200.0;
 
 fn main() -> io::Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -105,7 +101,7 @@
             way,
             "steady_peer_bytes",
             "B/s/daemon",
-            CONTROL_BOUND_BYTES,
+            MAX_CONTROL_BYTES_PER_S,
         );
         fit(
             &mut figures,
@@ -119,25 +115,21 @@
             way,
             "steady_store_reads",
             "1/s/fleet",
-            STORE_READS_BOUND,
+            MAX_STORE_READS_PER_S,
         );
     }
     Ok(figures)
 }
 
 async fn scaling_at(daemons: usize) -> io::Result<Figures> {
-    let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(async |way| {
+    for_each_way(async |way| {
         let prefix = format!("{}_{daemons}", way.name());
         let mut run = begin(daemons, ConvergenceLayout::TWO_YEARS, way, prefix).await?;
         run.one_change(6).await;
         run.steady(2).await;
         io::Result::Ok(run.end())
-    });
-    let (one, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
-    let mut figures = one;
-    figures.extend(two);
-    figures.extend(three);
-    Ok(figures)
+    })
+    .await
 }
 
 #[expect(clippy::cast_precision_loss, reason = "sizes are small")]
@@ -156,7 +148,7 @@
     );
     figures.add(format!("{prefix}_fit_spread"), line.spread, unit);
     let name = format!("{prefix}_at_5800");
-    let value = line.at(TWO_YEARS_DAEMONS);
+    let value = line.at(f64::from(TWO_YEARS_DAEMONS));
     if way.is_bounded() {
         figures.add_bounded(name, value, unit, most);
     } else {
@@ -164,9 +156,21 @@
     }
 }
 
+/// Measures the ways side by side.
+async fn for_each_way<Run>(measure: impl Fn(ConvergenceWay) -> Run) -> io::Result<Figures>
+where
+    Run: Future<Output = io::Result<Figures>>,
+{
+    let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(measure);
+    let (mut figures, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
+    figures.extend(two);
+    figures.extend(three);
+    Ok(figures)
+}
+
 /// Every fault in turn, for each way.
 async fn faults() -> io::Result<Figures> {
-    let [poll, convergence, control_bytes] = ConvergenceWay::ALL.map(async |way| {
+    for_each_way(async |way| {
         let prefix = format!("{}_{FAULT_DAEMONS}", way.name());
         let mut run = begin(FAULT_DAEMONS, ConvergenceLayout::TWO_YEARS, way, prefix).await?;
         run.burst(100).await;
@@ -175,12 +179,8 @@
         run.lossy(30).await;
         run.herd(5).await?;
         io::Result::Ok(run.end())
-    });
-    let (one, two, three) = tokio::try_join!(poll, convergence, control_bytes)?;
-    let mut figures = one;
-    figures.extend(two);
-    figures.extend(three);
-    Ok(figures)
+    })
+    .await
 }
 
 /// Convergence against control bytes over the settings that pull them apart.
--- a/crates/bench/benches/daemon_cost.rs
+++ b/crates/bench/benches/daemon_cost.rs
@@ -6,21 +6,11 @@
 use std::{process::ExitCode, time::Instant};
 
 use medlarspool_bench::{
-    DaemonCost, Figures, LinearFit, ProcessFleet, SampleLists, daemon_cost_fleet, program_paths,
-    wait_for_version,
+    DaemonCost, Figures, LinearFit, MAX_CONTROL_BYTES_PER_S, MAX_CORE_PERCENT, MAX_RESIDENT_MB,
+    MAX_STORE_READS_PER_S, ProcessFleet, SampleLists, TWO_YEARS_DAEMONS, daemon_cost_fleet,
+    program_paths, wait_for_version,
 };
 
-/// The daemons at the two-year size.
-const FLEET: f64 = 5_800.0;
-
-/// The stated limits of one daemon.
-const MAX_CONTROL_BYTES_PER_S: f64 = 18_000.0;
-const MAX_CORE_PERCENT: f64 = 1.8;
-const MAX_RESIDENT_MB: f64 = 256.0;
-
-/// A tenth of the store's reads a second, for the whole fleet.
-const MAX_STORE_REQUESTS_PER_S: f64 = 200.0;
-
 const BYTES_PER_MB: f64 = 1_000_000.0;
 const PERCENT: f64 = 100.0;
 
@@ -92,7 +82,7 @@
         figures.add(format!("{name}_spread"), fit.spread, unit);
         figures.add_bounded(
             format!("{name}_at_5800_daemons"),
-            fit.at(FLEET),
+            fit.at(f64::from(TWO_YEARS_DAEMONS)),
             unit,
             limit,
         );
@@ -106,12 +96,9 @@
     extend("resident", "MB", MAX_RESIDENT_MB, |cost| {
         cost.resident_bytes / BYTES_PER_MB
     });
-    extend(
-        "store",
-        "requests_per_s",
-        MAX_STORE_REQUESTS_PER_S,
-        |cost| cost.store_requests_per_s,
-    );
+    extend("store", "requests_per_s", MAX_STORE_READS_PER_S, |cost| {
+        cost.store_requests_per_s
+    });
 }
 
 fn as_f64(count: usize) -> f64 {
--- a/crates/bench/benches/membership.rs
+++ b/crates/bench/benches/membership.rs
@@ -7,8 +7,8 @@
 };
 
 use medlarspool_bench::{
-    Figures, LinearFit, MembershipPair, MembershipProcesses, MembershipRun, fill, member,
-    program_paths,
+    Figures, LinearFit, MembershipPair, MembershipProcesses, MembershipRun, TWO_YEARS_DAEMONS,
+    fill, member, program_paths,
 };
 use medlarspool_membership::{Membership, MembershipEvent, MembershipSettings};
 
@@ -18,11 +18,8 @@
 /// The sizes at which the state of one core is measured.
 const STATE_SIZES: [usize; 4] = [1_450, 2_900, 4_350, 5_800];
 
-/// The daemons of the fleet in two years.
-const FULL_SIZE: f64 = 5_800.0;
-
-/// The same as a count.
-const FULL_MEMBERS: usize = 5_800;
+/// The members of the fleet in two years.
+const FULL_MEMBERS: usize = TWO_YEARS_DAEMONS as usize;
 
 /// A third of the bytes that control may take of a daemon each second.
 const BYTES_BOUND: f64 = 6_000.0;
@@ -73,7 +70,7 @@
 /// Fits what was measured on sockets and derives the figures at full size.
 fn derive(figures: &mut Figures) {
     let logarithm = |size: usize| number(size).ln();
-    let full = FULL_SIZE;
+    let full = f64::from(TWO_YEARS_DAEMONS);
     let unbounded = f64::INFINITY;
     let rows = [
         (
@@ -142,7 +139,7 @@
     let fit = LinearFit::of(&points);
     figures.add("state_bytes_slope", fit.slope, "bytes/member");
     figures.add("state_bytes_spread", fit.spread, "bytes");
-    let megabytes = fit.at(FULL_SIZE) / 1e6;
+    let megabytes = fit.at(f64::from(TWO_YEARS_DAEMONS)) / 1e6;
     figures.add_bounded("state_at_5800", megabytes, "MB", MEMORY_BOUND_MB);
     let now = Instant::now();
     let mut core = filled(FULL_MEMBERS, now);
--- a/crates/bench/benches/snapshot.rs
+++ b/crates/bench/benches/snapshot.rs
@@ -8,11 +8,9 @@
 };
 
 use hdrhistogram::Histogram;
-use medlarspool_bench::SampleLists;
+use medlarspool_bench::{CHANGES_A_DAY, SampleLists};
 use medlarspool_config::{Delta, Lists, Snapshot};
 
-/// A day's changes, of which each costs an application.
-const CHANGES_A_DAY: u32 = 12_000;
 /// The versions that stand at once when memory is measured.
 const COPIES: u64 = 4;
 const CUSTOMERS: [usize; 3] = [1_000, 10_000, 100_000];
--- a/crates/bench/src/caller_reply.rs
+++ b/crates/bench/src/caller_reply.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use ureq::RequestBuilder;
+
 /// How long a caller waits.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -30,16 +32,7 @@
     ///
     /// Returns why no whole answer came.
     pub fn get_with(url: &str, credential: &str, headers: &[(&str, &str)]) -> Result<Self, String> {
-        let mut request = ureq::get(url)
-            .config()
-            .http_status_as_error(false)
-            .timeout_global(Some(CALLER_TIMEOUT))
-            .build()
-            .header("authorization", format!("Bearer {credential}"));
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        Self::read(request.call())
+        Self::read(prepare(ureq::get(url), credential, headers).call())
     }
 
     /// Sends a POST request and reads its whole answer.
@@ -53,16 +46,7 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> Result<Self, String> {
-        let mut request = ureq::post(url)
-            .config()
-            .http_status_as_error(false)
-            .timeout_global(Some(CALLER_TIMEOUT))
-            .build()
-            .header("authorization", format!("Bearer {credential}"));
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        Self::read(request.send(body))
+        Self::read(prepare(ureq::post(url), credential, headers).send(body))
     }
 
     fn read(answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Result<Self, String> {
@@ -83,3 +67,21 @@
         })
     }
 }
+
+/// Adds what every request of a caller has: the timeout, the credential and its own headers.
+fn prepare<Body>(
+    request: RequestBuilder<Body>,
+    credential: &str,
+    headers: &[(&str, &str)],
+) -> RequestBuilder<Body> {
+    let mut request = request
+        .config()
+        .http_status_as_error(false)
+        .timeout_global(Some(CALLER_TIMEOUT))
+        .build()
+        .header("authorization", format!("Bearer {credential}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request
+}
--- a/crates/bench/src/convergence_run.rs
+++ b/crates/bench/src/convergence_run.rs
@@ -7,14 +7,13 @@
 use medlarspool_spread::LinkClass;
 use medlarspool_types::ConfigHead;
 
-use crate::{ConvergenceFaults, ConvergenceFleet, ConvergenceWay, Figures};
+use crate::{
+    ConvergenceFaults, ConvergenceFleet, ConvergenceWay, Figures, MAX_CONTROL_BYTES_PER_S,
+    MAX_STORE_READS_PER_S,
+};
 
 /// The longest time within which a change must be in force everywhere, in milliseconds.
 const CONVERGENCE_BOUND_MS: f64 = 5_000.0;
-/// The most bytes of control in a second that a daemon may spend.
-const CONTROL_BOUND_BYTES: f64 = 18_000.0;
-/// A tenth of the store's reads in a second.
-const STORE_READS_BOUND: f64 = 200.0;
 /// The time between two changes at 12,000 a day.
 const STEADY_INTERVAL: Duration = Duration::from_millis(7_200);
 /// The longest wait for a change.
@@ -112,10 +111,15 @@
         }
         self.add("steady_peer_bytes", between_daemons, "B/s/daemon");
         let rate = precise(spent.iter().sum()) / seconds / counted(self.fleet.len());
-        self.bounded("steady_bytes", rate, "B/s/daemon", CONTROL_BOUND_BYTES);
+        self.bounded("steady_bytes", rate, "B/s/daemon", MAX_CONTROL_BYTES_PER_S);
         let now = self.fleet.store().head_reads() + self.fleet.store().list_reads();
         let rate = precise(now - reads) / seconds;
-        self.bounded("steady_store_reads", rate, "1/s/fleet", STORE_READS_BOUND);
+        self.bounded(
+            "steady_store_reads",
+            rate,
+            "1/s/fleet",
+            MAX_STORE_READS_PER_S,
+        );
     }
 
     /// Accepts many changes as fast as the store takes them.
@@ -123,13 +127,7 @@
         let before = self.fleet.bytes();
         let reads = self.fleet.store().list_reads();
         let accepted: Vec<_> = (0..changes).map(|_| self.commit()).collect();
-        let (last, _) = accepted[changes - 1];
-        self.fleet.wait_all_hold(last, LIMIT).await;
-        let waits: Vec<Duration> = accepted
-            .iter()
-            .flat_map(|(head, since)| self.fleet.held_after(head.version, *since))
-            .collect();
-        self.times("burst", &waits);
+        self.time_all("burst", &accepted).await;
         let bytes: u64 = self.spent_since(before).iter().sum();
         let each = precise(bytes) / counted(changes) / counted(self.fleet.len());
         self.add("burst_bytes", each, "B/change/daemon");
@@ -218,16 +216,22 @@
             accepted.push(self.commit());
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        let (last, _) = accepted[changes - 1];
-        self.fleet.wait_all_hold(last, LIMIT).await;
+        self.time_all("lossy", &accepted).await;
+        self.fleet
+            .network()
+            .set_faults(ConvergenceFaults::default());
+    }
+
+    /// Waits until the last of the changes is everywhere and times them all.
+    async fn time_all(&mut self, name: &str, accepted: &[(ConfigHead, Instant)]) {
+        if let Some((last, _)) = accepted.last() {
+            self.fleet.wait_all_hold(*last, LIMIT).await;
+        }
         let waits: Vec<Duration> = accepted
             .iter()
             .flat_map(|(head, since)| self.fleet.held_after(head.version, *since))
             .collect();
-        self.times("lossy", &waits);
-        self.fleet
-            .network()
-            .set_faults(ConvergenceFaults::default());
+        self.times(name, &waits);
     }
 
     fn commit(&self) -> (ConfigHead, Instant) {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod call_load;
 mod call_load_result;
+mod administration_page;
 mod caller_reply;
 mod calls_chain;
 mod calls_deployment;
@@ -70,6 +71,7 @@
 mod stand_in_platform;
 mod stand_in_platform_error;
 mod stand_in_upstream;
+mod stated_limits;
 mod upstream_behaviour;
 mod upstream_settings;
 mod version_watch;
@@ -135,6 +137,10 @@
     stand_in_platform::StandInPlatform,
     stand_in_platform_error::StandInPlatformError,
     stand_in_upstream::StandInUpstream,
+    stated_limits::{
+        CHANGES_A_DAY, MAX_CONTROL_BYTES_PER_S, MAX_CORE_PERCENT, MAX_RESIDENT_MB,
+        MAX_STORE_READS_PER_S, MAX_STORE_WRITES_PER_S, TWO_YEARS_DAEMONS,
+    },
     upstream_behaviour::UpstreamBehaviour,
     upstream_settings::UpstreamSettings,
     version_watch::{VersionCount, VersionWatch},
--- a/crates/bench/src/membership_processes.rs
+++ b/crates/bench/src/membership_processes.rs
@@ -3,7 +3,10 @@
     time::{Duration, Instant},
 };
 
-use crate::{Figures, OPERATOR_TOKEN, ProcessFleet, ProgramPaths, UpstreamBehaviour};
+use crate::{
+    Figures, ProcessFleet, ProgramPaths, UpstreamBehaviour,
+    administration_page::read_administration_page,
+};
 
 /// The daemons, each a process with an upstream of its own.
 const DAEMONS: usize = 12;
@@ -137,13 +140,7 @@
     /// Returns what a daemon knows of the members.
     fn members(&self, viewer: usize) -> Result<serde_json::Value, String> {
         let address = self.fleet.daemons[viewer].settings.administration_address;
-        let body = ureq::get(format!("http://{address}/members"))
-            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
-            .call()
-            .map_err(|error| error.to_string())?
-            .body_mut()
-            .read_to_string()
-            .map_err(|error| error.to_string())?;
+        let body = read_administration_page(address, "/members", None)?;
         serde_json::from_str(&body).map_err(|error| error.to_string())
     }
 
--- a/crates/bench/src/membership_run.rs
+++ b/crates/bench/src/membership_run.rs
@@ -2,7 +2,10 @@
 
 use medlarspool_membership::{MemberState, MembershipEvent};
 
-use crate::{Figures, membership_fleet::MembershipFleet, membership_traffic::MembershipTraffic};
+use crate::{
+    Figures, MAX_CONTROL_BYTES_PER_S, membership_fleet::MembershipFleet,
+    membership_traffic::MembershipTraffic,
+};
 
 /// How long a fleet without news runs before steady figures are taken.
 const SETTLING: Duration = Duration::from_secs(15);
@@ -37,9 +40,6 @@
 /// The time within which no daemon may give work to one that leaves, in milliseconds.
 const LEAVING_BOUND_MS: f64 = 3_000.0;
 
-/// The bytes that control may take of a daemon each second.
-const CONTROL_BYTES_PER_S: f64 = 18_000.0;
-
 /// The bound on bytes a daemon while a herd returns, as a multiple of what control may take.
 const HERD_MULTIPLE: f64 = 2.0;
 
@@ -327,7 +327,7 @@
         let mean = count(all) / count(spent.len()) / seconds;
         let most = count(most.unwrap_or_default()) / seconds;
         self.add(&format!("{name}_bytes_mean"), mean, "bytes/s");
-        let bound = HERD_MULTIPLE * CONTROL_BYTES_PER_S;
+        let bound = HERD_MULTIPLE * MAX_CONTROL_BYTES_PER_S;
         self.add_bounded(&format!("{name}_bytes_most"), most, "bytes/s", bound);
     }
 
--- a/crates/bench/src/scraped_metrics.rs
+++ b/crates/bench/src/scraped_metrics.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use crate::OPERATOR_TOKEN;
+use crate::administration_page::read_administration_page;
 
 /// How long a daemon may take to show its metrics.
 const SCRAPE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -30,16 +30,7 @@
         administration_address: SocketAddr,
         timeout: Duration,
     ) -> Result<Self, String> {
-        let text = ureq::get(format!("http://{administration_address}/metrics"))
-            .config()
-            .timeout_global(Some(timeout))
-            .build()
-            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
-            .call()
-            .map_err(|error| error.to_string())?
-            .body_mut()
-            .read_to_string()
-            .map_err(|error| error.to_string())?;
+        let text = read_administration_page(administration_address, "/metrics", Some(timeout))?;
         Ok(Self::parse(&text))
     }
 
--- a/crates/membership/tests/membership/herds.rs
+++ b/crates/membership/tests/membership/herds.rs
@@ -68,6 +68,16 @@
     assert!(spent.writes <= herd, "{} writes", spent.writes);
 }
 
+fn return_without_storm(fleet: &mut Fleet, herd: &[usize]) {
+    let spent = spend(fleet, |fleet| {
+        for place in herd {
+            fleet.begin(*place);
+        }
+        until_agreed(fleet);
+    });
+    assert_no_storm(&spent, herd.len());
+}
+
 fn kill_zone(fleet: &mut Fleet) -> Vec<usize> {
     let zones = fleet.zones;
     let herd: Vec<usize> = (0..fleet.places.len()).step_by(zones).collect();
@@ -101,13 +111,7 @@
     fleet.checked = false;
     let herd = kill_zone(&mut fleet);
     until_agreed(&mut fleet);
-    let spent = spend(&mut fleet, |fleet| {
-        for place in &herd {
-            fleet.begin(*place);
-        }
-        until_agreed(fleet);
-    });
-    assert_no_storm(&spent, herd.len());
+    return_without_storm(&mut fleet, &herd);
 }
 
 #[test]
@@ -117,13 +121,7 @@
     fleet.store_up = false;
     let herd = kill_zone(&mut fleet);
     until_agreed(&mut fleet);
-    let spent = spend(&mut fleet, |fleet| {
-        for place in &herd {
-            fleet.begin(*place);
-        }
-        until_agreed(fleet);
-    });
-    assert_no_storm(&spent, herd.len());
+    return_without_storm(&mut fleet, &herd);
 }
 
 #[test]
