--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for what surrounds the fleet, and what the benches share; not shipped.
 
+mod administration_page;
 mod call_load;
 mod call_load_result;
-mod administration_page;
 mod caller_reply;
 mod calls_chain;
 mod calls_deployment;
