Say once that a subcommand prints exactly something

Cause: the tests of the command repeated the same comparison of whole output. Change: `prints` runs a subcommand and compares the whole output. All expected texts and the number of comparisons are as before. Conclusion: as strict, and shorter.

--- a/crates/bench/tests/command.rs
+++ b/crates/bench/tests/command.rs
@@ -95,6 +95,12 @@
         self.run(arguments).expect("accepted")
     }
 
+    /// Runs a subcommand that must succeed and print exactly this.
+    #[track_caller]
+    fn prints(&self, arguments: &[&str], expected: &str) {
+        assert_eq!(self.ok(arguments), expected);
+    }
+
     fn fails(&self, arguments: &[&str], code: u8) -> String {
         let error = self.run(arguments).expect_err("refused");
         assert_eq!(error.exit_code(), code, "{error}");
@@ -145,14 +151,8 @@
     );
     operator.replace("customers.yaml", "plan: observer", "plan: guest");
     assert!(operator.ok(&["put"]).starts_with("accepted as version 2 "));
-    assert_eq!(
-        operator.ok(&["put"]),
-        "unchanged: version 2 holds this already\n"
-    );
-    assert_eq!(
-        operator.ok(&["history", "--version", "2"]),
-        "put customer `karoo`\n"
-    );
+    operator.prints(&["put"], "unchanged: version 2 holds this already\n");
+    operator.prints(&["history", "--version", "2"], "put customer `karoo`\n");
 }
 
 #[test]
@@ -162,9 +162,9 @@
     operator.write("plans.yaml", PLANS);
     let text = operator.fails(&["put"], 2);
     assert!(text.starts_with("the lists name no `base_version` and version `1` stands; "));
-    assert_eq!(
-        operator.ok(&["put", "--base", "1"]),
-        "unchanged: version 1 holds this already\n"
+    operator.prints(
+        &["put", "--base", "1"],
+        "unchanged: version 1 holds this already\n",
     );
 }
 
@@ -276,9 +276,9 @@
         "{text}"
     );
     operator.ok(&["put", "--change", &change]);
-    assert_eq!(
-        operator.ok(&["history", "--change", &change]),
-        "change our-change: accepted as version 2\n"
+    operator.prints(
+        &["history", "--change", &change],
+        "change our-change: accepted as version 2\n",
     );
     let again = operator.ok(&["put", "--change", &change]);
     assert_eq!(again, "accepted as version 2 (change our-change)\n");
@@ -296,8 +296,8 @@
         "our-change",
     ];
     let expected = "accepted as version 2 (change our-change)\n";
-    assert_eq!(operator.ok(&edit), expected);
-    assert_eq!(operator.ok(&edit), expected);
+    operator.prints(&edit, expected);
+    operator.prints(&edit, expected);
     operator.ok(&["history", "--change", "other-change", "--withdraw"]);
     let edit = [
         "edit",
