Build transfers and refuse long encodings in one place

Cause: the daemon, the bench's daemon and the bench's store each put updates or whole lists into a transfer; deltas and lists each refused what is too long; a method of the spread settings stood in the file of the search. Change: `TransferReply::granted`, `limits::check_bytes`, and the method beside its type. Comments of the protocol and the search use the usual terms. Conclusion: no behaviour differs.

--- a/crates/bench/src/convergence_daemon.rs
+++ b/crates/bench/src/convergence_daemon.rs
@@ -132,7 +132,7 @@
                 ticket,
             } => self.answer(ticket, TransferReply::busy(retry_after)),
             SpreadAction::TransferGranted { ticket, updates } => {
-                let reply = self.transfer(updates);
+                let reply = self.transfer(updates.as_deref());
                 self.end_transfer_after(reply.encoded_len());
                 self.answer(ticket, reply);
             }
@@ -289,22 +289,11 @@
         });
     }
 
-    fn transfer(&self, updates: Option<Vec<DeltaUpdate>>) -> TransferReply {
+    fn transfer(&self, updates: Option<&[DeltaUpdate]>) -> TransferReply {
         let Some(held) = self.holder.load_full() else {
             return TransferReply::busy(MAX_WAIT);
         };
-        let lists = if updates.is_some() {
-            Vec::new()
-        } else {
-            held.lists().encode()
-        };
-        let deltas = updates.unwrap_or_default();
-        TransferReply {
-            retry_after_ms: 0,
-            head: Some(held.head().into()),
-            deltas: deltas.iter().map(|update| update.delta.to_vec()).collect(),
-            lists,
-        }
+        TransferReply::granted(held.head(), updates, || held.lists().encode())
     }
 
     /// Keeps the transfer's place for as long as its bytes need on the giver's link.
--- a/crates/bench/src/convergence_store.rs
+++ b/crates/bench/src/convergence_store.rs
@@ -102,15 +102,12 @@
         }
         let accepted = self.lock();
         let next = accepted.snapshots.get(&head.version)?;
-        let mut reply = TransferReply {
-            head: Some(head.into()),
-            ..TransferReply::default()
-        };
-        match accepted.snapshots.get(&base.version) {
-            Some(base) => reply.deltas = vec![update_between(base, next).delta.to_vec()],
-            None => reply.lists = next.lists().encode(),
-        }
-        Some(reply)
+        let base = accepted.snapshots.get(&base.version);
+        let updates = base.map(|base| [update_between(base, next)]);
+        let updates = updates.as_ref().map(<[_; 1]>::as_slice);
+        Some(TransferReply::granted(head, updates, || {
+            next.lists().encode()
+        }))
     }
 
     fn lock(&self) -> MutexGuard<'_, Accepted> {
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -97,14 +97,7 @@
     ///
     /// Fails if it is too large or damaged.
     pub fn decode(encoded: &[u8]) -> Result<Self, ConfigError> {
-        if encoded.len() > limits::MAX_DELTA_BYTES {
-            return Err(ConfigError::Limit {
-                field: "delta, bytes".into(),
-                least: 0,
-                most: limits::MAX_DELTA_BYTES as u64,
-                value: encoded.len() as u64,
-            });
-        }
+        limits::check_bytes("delta, bytes", encoded, limits::MAX_DELTA_BYTES)?;
         let message = DeltaMessage::decode(encoded).map_err(lists_codec::damaged)?;
         let mut changes = put_changes(message.put)?;
         for id in &message.removed_customers {
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -1,5 +1,7 @@
 //! Bounds on the lists, so that no list can exhaust a daemon's memory or an operator's patience.
 
+use crate::ConfigError;
+
 /// The largest number of customers.
 pub const MAX_CUSTOMERS: usize = 250_000;
 /// The largest encoded delta, in bytes; a larger change travels as whole lists.
@@ -18,3 +20,16 @@
 pub const MAX_WEIGHT: u32 = 1_000;
 /// The largest YAML text of one list, in bytes.
 pub const MAX_YAML_BYTES: usize = 64 * 1024 * 1024;
+
+/// Refuses an encoding that is longer than `most` bytes, before it is read.
+pub(crate) fn check_bytes(field: &str, encoded: &[u8], most: usize) -> Result<(), ConfigError> {
+    if encoded.len() <= most {
+        return Ok(());
+    }
+    Err(ConfigError::Limit {
+        field: field.into(),
+        least: 0,
+        most: most as u64,
+        value: encoded.len() as u64,
+    })
+}
--- a/crates/config/src/lists.rs
+++ b/crates/config/src/lists.rs
@@ -198,14 +198,7 @@
     ///
     /// Fails if it is too large, damaged or not fit to be accepted.
     pub fn decode(encoded: &[u8]) -> Result<Self, ConfigError> {
-        if encoded.len() > limits::MAX_ENCODED_BYTES {
-            return Err(ConfigError::Limit {
-                field: "lists, bytes".into(),
-                least: 0,
-                most: limits::MAX_ENCODED_BYTES as u64,
-                value: encoded.len() as u64,
-            });
-        }
+        limits::check_bytes("lists, bytes", encoded, limits::MAX_ENCODED_BYTES)?;
         let message = ListsMessage::decode(encoded).map_err(lists_codec::damaged)?;
         let entries = lists_codec::entries(message)?;
         Self::new(entries.customers, entries.plans, entries.services)
--- a/crates/daemon/src/spread_agent.rs
+++ b/crates/daemon/src/spread_agent.rs
@@ -197,7 +197,7 @@
         let asker = self.askers.remove(&ticket);
         let shared = Arc::clone(&self.shared);
         self.runtime.spawn_blocking(move || {
-            let reply = spread_apply::transfer(&shared, updates);
+            let reply = spread_apply::transfer(&shared, updates.as_deref());
             let bytes = reply.encoded_len() as u64;
             shared.metrics.control_bytes_sent.inc_by(bytes);
             answer(asker, reply);
--- a/crates/daemon/src/spread_apply.rs
+++ b/crates/daemon/src/spread_apply.rs
@@ -51,21 +51,12 @@
 }
 
 /// Returns what a peer gets that asked for a transfer.
-pub(crate) fn transfer(shared: &Shared, updates: Option<Vec<DeltaUpdate>>) -> TransferReply {
+pub(crate) fn transfer(shared: &Shared, updates: Option<&[DeltaUpdate]>) -> TransferReply {
     let Some(snapshot) = shared.snapshot.load_full() else {
         return TransferReply::default();
     };
-    let mut reply = TransferReply {
-        head: Some(snapshot.head().into()),
-        ..TransferReply::default()
-    };
-    match updates {
-        Some(updates) => {
-            reply.deltas = updates.iter().map(|update| update.delta.to_vec()).collect();
-        }
-        None => reply.lists = snapshot.lists().encode(),
-    }
-    reply
+    let encode_lists = || snapshot.lists().encode();
+    TransferReply::granted(snapshot.head(), updates, encode_lists)
 }
 
 /// Returns whether the lists in use still match their digest; counted anew, not remembered.
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -32,7 +32,7 @@
 impl Datagram {
     /// The bytes that IPv4 and UDP put before each datagram.
     pub const FRAMING_BYTES: usize = 28;
-    /// The largest datagram, seal included, so that none is cut up on the way.
+    /// The largest datagram, seal included, so that none is fragmented on the way.
     pub const MAX_BYTES: usize = 1_200;
 
     /// Returns an envelope without a payload.
--- a/crates/proto/src/fleet_key.rs
+++ b/crates/proto/src/fleet_key.rs
@@ -53,7 +53,7 @@
         &self.token
     }
 
-    /// Returns whether a shown token is the fleet's, in a time that tells nothing of it.
+    /// Returns whether a shown token is the fleet's, in a time that doesn't depend on where they differ.
     #[must_use]
     pub fn accepts(&self, token: &[u8]) -> bool {
         constant_time_equal(self.token.as_bytes(), token)
--- a/crates/proto/src/peer_server.rs
+++ b/crates/proto/src/peer_server.rs
@@ -14,7 +14,7 @@
 /// The header that carries the fleet's token.
 pub(crate) const TOKEN_HEADER: &str = "medlarspool-fleet-token";
 
-/// The path below which the methods stand.
+/// The gRPC service's name, which each method's path starts with.
 pub(crate) const SERVICE_NAME: &str = "medlarspool.Peer";
 
 /// Serves a [`PeerHandler`] to the daemons that hold the fleet's key.
--- a/crates/proto/src/transfer_reply.rs
+++ b/crates/proto/src/transfer_reply.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use medlarspool_spread::DeltaUpdate;
 use medlarspool_types::ConfigHead;
 use prost::Message;
 
@@ -33,6 +34,26 @@
         }
     }
 
+    /// Returns an answer that leads to `head`: by updates, or by the whole lists if there are none.
+    #[must_use]
+    pub fn granted(
+        head: ConfigHead,
+        updates: Option<&[DeltaUpdate]>,
+        encode_lists: impl FnOnce() -> Vec<u8>,
+    ) -> Self {
+        let mut reply = Self {
+            head: Some(head.into()),
+            ..Self::default()
+        };
+        match updates {
+            Some(updates) => {
+                reply.deltas = updates.iter().map(|update| update.delta.to_vec()).collect();
+            }
+            None => reply.lists = encode_lists(),
+        }
+        reply
+    }
+
     /// Returns when to come back, if the giver is busy.
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
--- a/crates/spread/src/search.rs
+++ b/crates/spread/src/search.rs
@@ -3,9 +3,9 @@
 use fastrand::Rng;
 use medlarspool_types::{ConfigHead, InstanceId};
 
-use crate::{Refusal, SpreadPeer, SpreadSettings, peer_table::PeerTable};
+use crate::{Refusal, SpreadPeer, peer_table::PeerTable};
 
-/// The tries that one round over the kinds of source takes.
+/// The tries of one round: two pulls or transfers, a transfer, and the object store.
 const TRIES_A_ROUND: u32 = 4;
 /// The first wait after a round that failed.
 const BACK_OFF: Duration = Duration::from_millis(250);
@@ -221,10 +221,3 @@
         .saturating_mul(2_u32.saturating_pow(rounds.saturating_sub(1)))
         .min(most)
 }
-
-impl SpreadSettings {
-    /// Returns how long the first pull of a newly heard version waits for the push.
-    pub(crate) fn push_grace(&self, random: &mut Rng) -> Duration {
-        self.pull_delay.mul_f64(0.5 + random.f64())
-    }
-}
--- a/crates/spread/src/spread_settings.rs
+++ b/crates/spread/src/spread_settings.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use fastrand::Rng;
+
 use crate::{SpreadMode, SpreadPreference};
 
 /// The settings of the spreading of changes; see `docs/design/spread.md` for how they were chosen.
@@ -7,7 +9,7 @@
 pub struct SpreadSettings {
     /// How many daemons of each other availability zone and region get a change directly.
     pub cross_copies: usize,
-    /// The room for updates in one datagram.
+    /// The room for updates in one datagram, in bytes.
     pub datagram_bytes: usize,
     /// The mean time between two digests of one daemon.
     pub digest_interval: Duration,
@@ -58,6 +60,11 @@
         }
     }
 
+    /// Draws how long the first pull of a newly heard version waits for the push.
+    pub(crate) fn push_grace(&self, random: &mut Rng) -> Duration {
+        self.pull_delay.mul_f64(0.5 + random.f64())
+    }
+
     fn common() -> Self {
         Self {
             cross_copies: 2,
