Put comments into usual terms and variants in order

Change: comments, links to the design pages, and order. Conclusion: easier to read; nothing else differs.

--- a/crates/command/src/instance_status.rs
+++ b/crates/command/src/instance_status.rs
@@ -6,7 +6,7 @@
 pub struct InstanceStatus {
     /// Where the instance stands.
     pub availability_zone: AvailabilityZone,
-    /// How long ago word of it came, in milliseconds.
+    /// How long ago its version was last heard, in milliseconds.
     pub heard_ms_ago: u64,
     /// The instance.
     pub instance: InstanceId,
--- a/crates/command/src/status.rs
+++ b/crates/command/src/status.rs
@@ -55,7 +55,7 @@
     until.is_some_and(|until| status.holders(until) == status.instances.len())
 }
 
-/// Tells whether two answers differ in more than the time since word came.
+/// Tells whether two answers differ in more than the time since each version was heard.
 fn differ(one: &FleetStatus, other: &FleetStatus) -> bool {
     let same = |one: &InstanceStatus, other: &InstanceStatus| {
         one.instance == other.instance
--- a/crates/command/src/submit.rs
+++ b/crates/command/src/submit.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Gives a failure's meaning: a change that an earlier run sent isn't refused because the platform
+/// Gives a failure its meaning: a change that an earlier run sent isn't refused because the platform
 /// can't be reached now.
 pub(crate) fn explain(arguments: &Arguments, error: CommandError) -> CommandError {
     match (arguments.parsed("change"), error) {
--- a/crates/config/src/lists_codec.rs
+++ b/crates/config/src/lists_codec.rs
@@ -1,4 +1,4 @@
-//! Between entries and their messages.
+//! Turns entries into their messages and back.
 
 use std::{fmt::Display, str::FromStr, time::Duration};
 
--- a/crates/config/src/page_group.rs
+++ b/crates/config/src/page_group.rs
@@ -7,7 +7,7 @@
 /// The number of pages in a group, and of groups.
 pub(crate) const FAN: usize = 32;
 
-/// A few pages and the digest of theirs.
+/// A few pages and the digest of their digests.
 #[derive(Clone, Debug)]
 pub(crate) struct PageGroup {
     digest: OnceLock<ConfigDigest>,
@@ -42,7 +42,7 @@
     }
 }
 
-/// Digests digests.
+/// Returns the digest of several digests.
 pub(crate) fn digest_of(digests: impl IntoIterator<Item = ConfigDigest>) -> ConfigDigest {
     let bytes: Vec<u8> = digests
         .into_iter()
--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -1,4 +1,4 @@
-//! The tries of one change.
+//! The tries of one change; see `docs/design/commit.md`.
 
 use medlarspool_config::{ConfigError, EntryKey, Lists, ListsPatch};
 use medlarspool_types::{ConfigHead, ConfigVersion};
@@ -94,7 +94,7 @@
         self.write(&head, &next, checkpoint, patch)
     }
 
-    /// Makes the last word on the change a true one: what may yet take effect is withdrawn first.
+    /// Returns a final result: a transaction that may yet take effect is withdrawn first.
     pub(crate) fn settle(
         self,
         result: Result<CommitOutcome, CommitError>,
--- a/crates/platform/src/history.rs
+++ b/crates/platform/src/history.rs
@@ -1,4 +1,4 @@
-//! Reading what was accepted.
+//! Reads the accepted versions and changes; see `docs/design/commit.md`.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -17,7 +17,7 @@
 pub(crate) const MAX_PATCHES: u64 = 100;
 /// The most versions whose rows are searched for the one that changed an entry.
 const MAX_SEARCHED_VERSIONS: u64 = 1000;
-/// The rows that are read besides those wanted, as newer versions come first.
+/// The rows that are read beyond those wanted, since a version accepted meanwhile comes first.
 const SLACK_VERSIONS: usize = 1;
 /// What the keys of versions' rows start with.
 const VERSION_PREFIX: &str = "config/version/";
--- a/crates/spread/src/config_update.rs
+++ b/crates/spread/src/config_update.rs
@@ -1,4 +1,4 @@
-//! Between snapshots and the updates that travel.
+//! Turns snapshots into updates, and updates into snapshots.
 
 use std::sync::Arc;
 
--- a/crates/spread/src/confirmation.rs
+++ b/crates/spread/src/confirmation.rs
@@ -4,11 +4,12 @@
 
 use crate::{Readiness, peer_table::PeerTable};
 
-/// The availability zones whose word stands in for the store's.
+/// The number of availability zones whose peers' heads together stand in for the store's answer.
 const ZONES_NEEDED: usize = 2;
-/// The time between two looks at the peers' words after the wait.
+/// The time between two looks at the heads that peers showed, once the wait is over.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The version that a process must at least hold, and what confirmed it.
 #[derive(Clone, Copy, Debug)]
 struct Confirmed {
     by: Readiness,
@@ -16,6 +17,8 @@
 }
 
 /// Finds out which version a new process must at least hold before it serves.
+///
+/// What is promised in each case stands in `docs/design/spread.md`.
 #[derive(Debug)]
 pub(crate) struct Confirmation {
     confirmed: Option<Confirmed>,
@@ -32,7 +35,7 @@
         }
     }
 
-    /// Takes the store's word, which a process asks for only after it began.
+    /// Takes the head that the store answered with, which a process asks for only after it began.
     ///
     /// A daemon that already serves goes on while it fetches what the store has beyond.
     pub(crate) fn store_told(&mut self, told: ConfigHead, held: ConfigHead) {
@@ -47,7 +50,7 @@
         self.store_failed = true;
     }
 
-    /// Takes the peers' word once the store has failed and the wait is over.
+    /// Takes the highest head that peers showed once the store has failed and the wait is over.
     pub(crate) fn ask_peers(&mut self, now: Instant, peers: &PeerTable) {
         if self.confirmed.is_some() || now < self.wait_until {
             return;
--- a/crates/spread/src/giver.rs
+++ b/crates/spread/src/giver.rs
@@ -9,6 +9,7 @@
 const MAX_PULL_DATAGRAMS: usize = 8;
 /// The most datagrams of one push to one peer; beyond them peers pull.
 const MAX_PUSH_DATAGRAMS: usize = 4;
+/// Shows the head on the envelope without asking for the receiver's.
 const DIGEST: SpreadMessage = SpreadMessage::Digest {
     reply_wanted: false,
 };
--- a/crates/spread/src/peer_table.rs
+++ b/crates/spread/src/peer_table.rs
@@ -10,6 +10,7 @@
 /// One in this many digests goes to another availability zone of the region.
 const DIGESTS_PER_ZONE_DIGEST: usize = 4;
 
+/// A peer and the highest head that it showed.
 #[derive(Debug)]
 struct Known {
     head: ConfigHead,
--- a/crates/spread/src/spread_counters.rs
+++ b/crates/spread/src/spread_counters.rs
@@ -19,10 +19,10 @@
     pub refused: [u64; Refusal::ALL.len()],
     /// Heads from the store that were older than the lists in use.
     pub store_behind: u64,
-    /// Whole lists asked of the object store.
-    pub store_fetches: u64,
     /// Reads of the head that failed.
     pub store_failures: u64,
+    /// Whole lists asked of the object store.
+    pub store_fetches: u64,
     /// Reads of the head.
     pub store_reads: u64,
     /// Transfers refused because too many were in flight.
--- a/crates/spread/src/store_poll.rs
+++ b/crates/spread/src/store_poll.rs
@@ -4,7 +4,7 @@
 
 use crate::{SpreadMode, SpreadSettings};
 
-/// The most that failures stretch the interval between reads.
+/// The largest factor by which failures stretch the interval between reads.
 const MAX_BACK_OFF: u32 = 4;
 
 /// The longest wait, as a multiple of the mean interval.
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Brings the next read near, because something needs the store's word.
+    /// Brings the next read forward, because something needs the store's answer.
     pub(crate) fn hasten(&mut self, now: Instant, within: Duration, random: &mut Rng) {
         self.next = self.next.min(now + within.mul_f64(random.f64()));
     }
--- a/crates/types/src/id_error.rs
+++ b/crates/types/src/id_error.rs
@@ -3,12 +3,12 @@
 /// Why a text was refused as an id.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum IdError {
-    /// `{0}` is not a number
-    NotANumber(String),
-    /// `{0}` has a character other than a-z, 0-9, `-`, `_` and `.`
-    ForbiddenCharacter(String),
     /// an id is empty
     Empty,
+    /// `{0}` has a character other than a-z, 0-9, `-`, `_` and `.`
+    ForbiddenCharacter(String),
+    /// `{0}` is not a number
+    NotANumber(String),
     /// `{0}` is longer than 64 characters
     TooLong(String),
 }
--- a/crates/types/src/incarnation.rs
+++ b/crates/types/src/incarnation.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-/// Orders the lives of a process on one instance, so that an old life's words never overrule a new one's.
+/// Orders the lives of a process on one instance, so that an old life's announcements never overrule a new one's.
 ///
 /// A process takes its start in microseconds since the Unix epoch and raises it to refute a suspicion.
 #[derive(
--- a/crates/types/src/text_id.rs
+++ b/crates/types/src/text_id.rs
@@ -1,7 +1,7 @@
 /// The longest text id in characters, so that a datagram can hold several.
 pub(crate) const MAX_TEXT_ID_CHARACTERS: usize = 64;
 
-/// Declares an id that is a short lower-case text, checked when it is made.
+/// Declares a type for ids of up to 64 lower-case characters, which are checked when one is made.
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
