Keep requests that crash upstreams to two of them

A gauge shows how many requests are remembered. A crash is told from a lost connection by one connection attempt, so an upstream that is up again on the same address goes unblamed.

--- a/crates/bench/src/child_process.rs
+++ b/crates/bench/src/child_process.rs
@@ -56,6 +56,11 @@
         self.child.id()
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         if let Err(error) = self.child.kill() {
--- /dev/null
+++ b/crates/bench/tests/calls_crash.rs
@@ -0,0 +1,87 @@
+//! A request that crashes each upstream that runs it takes at most two of them, however it is sent.
+
+use std::time::Duration;
+
+use medlarspool_bench::{CallerReply, ProcessFleet, UpstreamBehaviour, program_paths};
+
+const CREDENTIAL: &str = "credential";
+const DAEMONS: usize = 3;
+const ROUNDS: usize = 3;
+
+fn fleet() -> ProcessFleet {
+    let mut fleet = ProcessFleet::start(program_paths!()).expect("the platform starts");
+    fleet.put(0, CREDENTIAL, &["alerts"]).expect("accepted");
+    for zone in ["zone-a", "zone-b", "zone-c"] {
+        fleet
+            .add(zone, "alerts", UpstreamBehaviour::Crashing, Duration::ZERO)
+            .expect("a daemon starts");
+    }
+    for daemon in 0..DAEMONS {
+        wait_until_all_known(&fleet, daemon);
+    }
+    fleet
+}
+
+/// Waits until a daemon has had answers from the upstreams of all three instances.
+fn wait_until_all_known(fleet: &ProcessFleet, daemon: usize) {
+    let mut names = std::collections::BTreeSet::new();
+    for _ in 0..1_200 {
+        let reply = fleet.call(daemon, "/alerts/ready", CREDENTIAL);
+        let answered = reply.ok().filter(|reply| reply.status == 200);
+        names.extend(answered.and_then(|reply| Some(reply.body.split_once(' ')?.0.to_owned())));
+        if names.len() == DAEMONS {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("daemon {daemon} knows only {names:?}");
+}
+
+/// Sends the crashing request through a daemon, as an idempotent or a non-idempotent one.
+fn send(fleet: &ProcessFleet, daemon: usize, idempotent: bool) -> Option<CallerReply> {
+    let address = fleet.daemons[daemon].settings.callers_address;
+    let url = format!("http://{address}/alerts/crash");
+    let reply = if idempotent {
+        CallerReply::get(&url, CREDENTIAL)
+    } else {
+        CallerReply::post(&url, CREDENTIAL, &[], "wake everybody")
+    };
+    reply.ok()
+}
+
+/// Starts the upstreams that have crashed again and returns how many had.
+fn restart_crashed(fleet: &mut ProcessFleet) -> usize {
+    let programs = fleet.programs();
+    let mut crashed = 0;
+    for daemon in &mut fleet.daemons {
+        let upstream = daemon.upstream.as_mut().expect("an upstream");
+        if upstream.has_ended() {
+            crashed += 1;
+            daemon.restart_upstream(&programs).expect("it starts");
+        }
+    }
+    crashed
+}
+
+#[rstest::rstest]
+#[case::idempotent(true)]
+#[case::non_idempotent(false)]
+fn a_crashing_request_takes_at_most_two_upstreams(#[case] idempotent: bool) {
+    let mut fleet = fleet();
+    let mut crashed = 0;
+    let mut refused = 0;
+    for _ in 0..ROUNDS {
+        for daemon in 0..DAEMONS {
+            let reply = send(&fleet, daemon, idempotent);
+            refused += usize::from(reply.is_some_and(|reply| reply.verdict == "not-run"));
+        }
+        crashed += restart_crashed(&mut fleet);
+        for daemon in 0..DAEMONS {
+            fleet
+                .call_until(daemon, "/alerts/ready", CREDENTIAL, 200)
+                .expect("other requests are served");
+        }
+    }
+    assert!((1..=2).contains(&crashed), "{crashed} upstreams crashed");
+    assert!(refused > 0, "nothing was refused as not run");
+}
--- /dev/null
+++ b/crates/daemon/src/crash_guard.rs
@@ -0,0 +1,221 @@
+use std::{
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use medlarspool_calls::{
+    CallSettings, CrashId, CrashPublication, Fingerprint, Quarantine, QuarantineCheck,
+    QuarantineNotice,
+};
+use medlarspool_proto::{CallReply, CrashNotice, Refusal};
+use medlarspool_types::{InstanceId, ServiceName, Verdict};
+use tokio::task::JoinSet;
+
+use crate::{crash_codec, peer_pool::PeerPool, shared::Shared, upstream_record::UpstreamRecord};
+
+/// How long a lost upstream gets to take a connection before it counts as alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// When a suspect comes back that another suspect's run keeps out.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Keeps requests that crash upstreams away from this gate's, and tells the service's other gates.
+pub(crate) struct CrashGuard {
+    peers: Arc<PeerPool>,
+    settings: CallSettings,
+    shared: Arc<Shared>,
+    state: Mutex<State>,
+}
+
+struct State {
+    quarantine: Quarantine,
+    running: Vec<Running>,
+    /// Counts the upstream's lives as far as crashes tell them apart.
+    upstream_life: u64,
+}
+
+/// One request that the upstream runs.
+#[derive(Clone, Copy)]
+pub(crate) struct Running {
+    fingerprint: Fingerprint,
+    upstream_life: u64,
+}
+
+impl CrashGuard {
+    pub(crate) fn new(shared: Arc<Shared>, settings: &CallSettings, peers: Arc<PeerPool>) -> Self {
+        let quarantine = Quarantine::new(settings, shared.settings.instance.clone());
+        Self {
+            peers,
+            settings: settings.clone(),
+            state: Mutex::new(State {
+                quarantine,
+                running: Vec::new(),
+                upstream_life: shared.incarnation.0,
+            }),
+            shared,
+        }
+    }
+
+    /// Notes that a request is about to run, or refuses it.
+    pub(crate) fn begin(
+        &self,
+        fingerprint: Fingerprint,
+        service: &ServiceName,
+    ) -> Result<Running, Box<CallReply>> {
+        let gates = self.gates(service);
+        let mut state = self.lock();
+        match state
+            .quarantine
+            .check(self.shared.clock.now(), fingerprint, &gates)
+        {
+            QuarantineCheck::Admit => {}
+            QuarantineCheck::AdmitAlone => state.quarantine.start_alone(fingerprint),
+            QuarantineCheck::Busy | QuarantineCheck::Elsewhere(_) => {
+                return Err(refused(Refusal::Suspected, BUSY_RETRY_AFTER));
+            }
+            QuarantineCheck::Refuse { retry_after } => {
+                return Err(refused(Refusal::Quarantined, retry_after));
+            }
+        }
+        let running = Running {
+            fingerprint,
+            upstream_life: state.upstream_life,
+        };
+        state.running.push(running);
+        Ok(running)
+    }
+
+    /// Notes that a run ended, and returns what the other gates must be told.
+    pub(crate) fn end(&self, running: Running, answered: bool) -> Option<QuarantineNotice> {
+        let mut state = self.lock();
+        state.forget(running);
+        let now = self.shared.clock.now();
+        state.quarantine.end(now, running.fingerprint, answered)
+    }
+
+    /// Notes that a run lost its connection; if the upstream is gone, all that it ran are blamed.
+    pub(crate) fn lost(&self, running: Running, upstream: SocketAddr) -> Option<QuarantineNotice> {
+        let is_gone = TcpStream::connect_timeout(&upstream, PROBE_TIMEOUT)
+            .is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
+        let mut state = self.lock();
+        let is_news = is_gone && running.upstream_life == state.upstream_life;
+        let notice = is_news.then(|| self.blame(&mut state));
+        state.forget(running);
+        state
+            .quarantine
+            .end(self.shared.clock.now(), running.fingerprint, false);
+        notice
+    }
+
+    /// Takes in what another gate tells.
+    pub(crate) fn receive(&self, notice: &CrashNotice) {
+        if let Some(notice) = crash_codec::notice(notice) {
+            let mut state = self.lock();
+            state.quarantine.receive(self.shared.clock.now(), &notice);
+            self.count(&state);
+        }
+    }
+
+    /// Tells the service's other gates, and returns when they confirmed or the time for it is over.
+    pub(crate) async fn publish(&self, notice: &QuarantineNotice, service: &ServiceName) {
+        let others = self.others(service);
+        let timeout = self.settings.crash_publish_timeout;
+        let names = others.iter().map(|other| other.instance.clone());
+        let mut publication = CrashPublication::new(self.shared.clock.now(), timeout, names);
+        let notice = crash_codec::wire_notice(notice);
+        let mut tells = JoinSet::new();
+        for other in others {
+            tells.spawn(tell(
+                Arc::clone(&self.peers),
+                other,
+                notice.clone(),
+                timeout,
+            ));
+        }
+        while !publication.is_done(self.shared.clock.now()) {
+            match tokio::time::timeout(timeout, tells.join_next()).await {
+                Ok(Some(Ok(Some(confirmed)))) => publication.confirm(&confirmed),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+
+    fn blame(&self, state: &mut State) -> QuarantineNotice {
+        let life = state.upstream_life;
+        state.upstream_life += 1;
+        let blamed: Vec<Fingerprint> = state
+            .running
+            .iter()
+            .filter(|run| run.upstream_life == life)
+            .map(|run| run.fingerprint)
+            .collect();
+        log::warn!(requests = blamed.len(); "the upstream crashed");
+        let crash = CrashId {
+            instance: self.shared.settings.instance.clone(),
+            number: life,
+        };
+        let now = self.shared.clock.now();
+        let notice = state.quarantine.crashed(now, crash, &blamed);
+        self.count(state);
+        notice
+    }
+
+    fn count(&self, state: &State) {
+        let remembered = i64::try_from(state.quarantine.len()).unwrap_or(i64::MAX);
+        self.shared.metrics.crash_suspects.set(remembered);
+    }
+
+    fn gates(&self, service: &ServiceName) -> Vec<InstanceId> {
+        let others = self.others(service).into_iter();
+        let own = self.shared.settings.instance.clone();
+        others.map(|other| other.instance).chain([own]).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn others(&self, service: &ServiceName) -> Vec<UpstreamRecord> {
+        let own = &self.shared.settings.instance;
+        let directory = self.shared.directory.load();
+        let known = directory.of(service).iter();
+        known
+            .filter(|other| other.instance != *own)
+            .cloned()
+            .collect()
+    }
+}
+
+impl State {
+    fn forget(&mut self, ended: Running) {
+        let is_ended = |run: &Running| {
+            run.fingerprint == ended.fingerprint && run.upstream_life == ended.upstream_life
+        };
+        if let Some(at) = self.running.iter().position(is_ended) {
+            self.running.swap_remove(at);
+        }
+    }
+}
+
+fn refused(refusal: Refusal, retry_after: Duration) -> Box<CallReply> {
+    Box::new(CallReply {
+        retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        ..CallReply::refused(Verdict::NotRun, refusal)
+    })
+}
+
+async fn tell(
+    peers: Arc<PeerPool>,
+    other: UpstreamRecord,
+    notice: CrashNotice,
+    timeout: Duration,
+) -> Option<InstanceId> {
+    let connection = peers.connection(other.gate_address).await.ok()?;
+    if connection.client.crash(notice, timeout).await.is_ok() {
+        return Some(other.instance);
+    }
+    peers.give_up(other.gate_address, connection.channel).await;
+    None
+}
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -8,8 +8,8 @@
 };
 
 use medlarspool_calls::{
-    Admission, CallSettings, ChannelId, Fate, FateQuestion, GateWork, Idempotency, QuestionKind,
-    RefusalReason, RequestContext, RunEnd, Slot,
+    Admission, CallSettings, ChannelId, Fate, FateQuestion, Fingerprint, GateWork, Idempotency,
+    QuarantineNotice, QuestionKind, RefusalReason, RequestContext, RunEnd, Slot,
 };
 use medlarspool_proto::{CallReply, CallRequest, LoadReport, Refusal, WireHead, WireVerdict};
 use medlarspool_spread::SpreadEvent;
@@ -21,6 +21,7 @@
     claim_job::ClaimJob,
     claims::Claims,
     control_message::ControlMessage,
+    crash_guard::CrashGuard,
     fate_codec::{call_id, channel_id},
     gate_queue::{GateQueue, Place},
     peer_pool::PeerPool,
@@ -48,6 +49,7 @@
     arrivals: AtomicU64,
     claims: Arc<Claims>,
     client: UpstreamClient,
+    crashes: CrashGuard,
     queue: Arc<GateQueue>,
     shared: Arc<Shared>,
 }
@@ -62,7 +64,33 @@
     work: GateWork,
 }
 
+/// A run's reply, and what the service's other gates must know before it is given.
+struct RunEnded {
+    notice: Option<QuarantineNotice>,
+    reply: CallReply,
+}
+
+impl RunEnded {
+    fn quiet(reply: CallReply) -> Self {
+        Self {
+            notice: None,
+            reply,
+        }
+    }
+}
+
 impl Admitted {
+    fn fingerprint(&self) -> Fingerprint {
+        let request = &self.request;
+        Fingerprint::of(
+            &self.work.customer,
+            &self.service,
+            &request.method,
+            &request.path,
+            &request.body,
+        )
+    }
+
     fn needs_claim(&self) -> bool {
         let idempotency = Idempotency::of_method(&self.request.method);
         !self.request.idempotency_key.is_empty() && idempotency == Idempotency::NonIdempotent
@@ -80,7 +108,7 @@
         let queue = GateQueue::new(settings, shared.incarnation, clock);
         let claims = Claims {
             jobs,
-            peers,
+            peers: Arc::clone(&peers),
             queue: Arc::clone(&queue),
             settings: settings.clone(),
             shared: Arc::clone(&shared),
@@ -89,11 +117,17 @@
             arrivals: AtomicU64::new(0),
             claims: Arc::new(claims),
             client: UpstreamClient::new(shared.settings.max_body_bytes),
+            crashes: CrashGuard::new(Arc::clone(&shared), settings, peers),
             queue,
             shared,
         })
     }
 
+    /// What is known of requests that crash upstreams.
+    pub(crate) const fn crashes(&self) -> &CrashGuard {
+        &self.crashes
+    }
+
     /// The decisions, for questions after fates and for channels.
     pub(crate) const fn queue(&self) -> &Arc<GateQueue> {
         &self.queue
@@ -114,7 +148,10 @@
         request.channel = Some(crate::fate_codec::wire_channel(channel));
         let reply = match self.admit(request).await {
             Ok(admitted) => match self.wait_for_turn(&admitted).await {
-                Ok(slot) => self.run(&admitted, slot),
+                Ok(slot) => {
+                    let ended = self.run(&admitted, slot);
+                    self.published(ended, &admitted.service).await
+                }
                 Err(reply) => reply,
             },
             Err(refusal) => refused(refusal),
@@ -219,8 +256,20 @@
             Err(reply) => return reply,
         };
         let gate = Arc::clone(self);
+        let service = admitted.service.clone();
         let running = tokio::task::spawn_blocking(move || gate.run(&admitted, slot));
-        running.await.unwrap_or_else(|_| lost())
+        match running.await {
+            Ok(ended) => self.published(ended, &service).await,
+            Err(_) => lost(),
+        }
+    }
+
+    /// Returns a run's reply once the other gates know what the run showed of crashes.
+    async fn published(&self, ended: RunEnded, service: &ServiceName) -> CallReply {
+        if let Some(notice) = &ended.notice {
+            self.crashes.publish(notice, service).await;
+        }
+        ended.reply
     }
 
     async fn wait_for_turn(&self, admitted: &Admitted) -> Result<Slot<Arc<CallReply>>, CallReply> {
@@ -315,7 +364,15 @@
     }
 
     /// Hands a request to the upstream and waits for its whole answer.
-    fn run(&self, admitted: &Admitted, slot: Slot<Arc<CallReply>>) -> CallReply {
+    fn run(&self, admitted: &Admitted, slot: Slot<Arc<CallReply>>) -> RunEnded {
+        let fingerprint = admitted.fingerprint();
+        let running = match self.crashes.begin(fingerprint, &admitted.service) {
+            Ok(running) => running,
+            Err(refused) => {
+                slot.finish(RunEnd::NotSent);
+                return RunEnded::quiet(*refused);
+            }
+        };
         let remaining = self.remaining(admitted.deadline);
         let context = RequestContext {
             depth: u8::try_from(admitted.request.depth).unwrap_or(u8::MAX),
@@ -334,16 +391,25 @@
                     answer,
                     answer_bytes,
                 });
-                reply
+                RunEnded {
+                    notice: self.crashes.end(running, true),
+                    reply,
+                }
             }
             UpstreamEnd::Lost => {
                 slot.finish(RunEnd::Lost);
-                lost()
+                RunEnded {
+                    notice: self.crashes.lost(running, address),
+                    reply: lost(),
+                }
             }
             UpstreamEnd::NotSent => {
                 self.shared.tell_control(ControlMessage::UpstreamRefused);
                 slot.finish(RunEnd::NotSent);
-                refused(Refusal::UpstreamDown)
+                RunEnded {
+                    notice: self.crashes.end(running, false),
+                    reply: refused(Refusal::UpstreamDown),
+                }
             }
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,8 @@
 mod claims;
 mod control;
 mod control_message;
+mod crash_codec;
+mod crash_guard;
 mod daemon;
 mod daemon_error;
 mod datagram_socket;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -12,6 +12,7 @@
     pub(crate) config_version: IntGauge,
     pub(crate) control_bytes_received: IntCounter,
     pub(crate) control_bytes_sent: IntCounter,
+    pub(crate) crash_suspects: IntGauge,
     pub(crate) datagrams_received: IntCounter,
     pub(crate) datagrams_refused: IntCounter,
     pub(crate) datagrams_sent: IntCounter,
@@ -65,6 +66,11 @@
         registry.register(Box::new(spread_events.clone()))?;
         registry.register(Box::new(members_living.clone()))?;
         registry.register(Box::new(membership_events.clone()))?;
+        let crash_suspects = IntGauge::new(
+            "medlarspool_crash_suspects",
+            "Requests remembered for having run when an upstream crashed, in requests",
+        )?;
+        registry.register(Box::new(crash_suspects.clone()))?;
         registry.register(Box::new(calls.clone()))?;
         registry.register(Box::new(config_version.clone()))?;
         Ok(Self {
@@ -86,6 +92,7 @@
                 "medlarspool_control_sent_bytes_total",
                 "Control datagrams sent with their IP and UDP headers, in bytes",
             )?,
+            crash_suspects,
             datagrams_received: counter(
                 "medlarspool_datagrams_received_total",
                 "Control datagrams received, in datagrams",
--- a/crates/daemon/src/peer_edge.rs
+++ b/crates/daemon/src/peer_edge.rs
@@ -2,8 +2,8 @@
 
 use medlarspool_calls::{FateQuestion, QuestionKind};
 use medlarspool_proto::{
-    CallReply, CallRequest, FateAnswer, FateRequest, PeerHandler, TransferReply, TransferRequest,
-    WireChannel,
+    CallReply, CallRequest, CrashConfirmation, CrashNotice, FateAnswer, FateRequest, PeerHandler,
+    TransferReply, TransferRequest, WireChannel,
 };
 use tokio::sync::oneshot;
 
@@ -28,6 +28,11 @@
         self.gate.call(request).await
     }
 
+    async fn crash(&self, notice: CrashNotice) -> CrashConfirmation {
+        self.gate.crashes().receive(&notice);
+        CrashConfirmation {}
+    }
+
     async fn fate(&self, request: FateRequest) -> FateAnswer {
         let question = FateQuestion {
             call: call_id(&request.call_id),
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -5,6 +5,8 @@
 mod call_reply;
 mod call_request;
 mod channel_request;
+mod crash_confirmation;
+mod crash_notice;
 mod datagram;
 mod fate_answer;
 mod fate_request;
@@ -31,6 +33,7 @@
 mod transfer_reply;
 mod transfer_request;
 mod wire_channel;
+mod wire_crash;
 mod wire_fate;
 mod wire_head;
 mod wire_verdict;
@@ -39,6 +42,8 @@
     call_reply::CallReply,
     call_request::CallRequest,
     channel_request::ChannelRequest,
+    crash_confirmation::CrashConfirmation,
+    crash_notice::CrashNotice,
     datagram::Datagram,
     fate_answer::FateAnswer,
     fate_request::FateRequest,
@@ -68,6 +73,7 @@
     transfer_reply::TransferReply,
     transfer_request::TransferRequest,
     wire_channel::WireChannel,
+    wire_crash::WireCrash,
     wire_fate::WireFate,
     wire_head::WireHead,
     wire_verdict::WireVerdict,
--- a/crates/proto/src/peer_client.rs
+++ b/crates/proto/src/peer_client.rs
@@ -11,8 +11,9 @@
 use tonic_prost::ProstCodec;
 
 use crate::{
-    CallReply, CallRequest, ChannelRequest, FateAnswer, FateRequest, FleetKey, MAX_MESSAGE_BYTES,
-    ProtoError, TransferReply, TransferRequest, WireChannel, peer_server::TOKEN_HEADER,
+    CallReply, CallRequest, ChannelRequest, CrashConfirmation, CrashNotice, FateAnswer,
+    FateRequest, FleetKey, MAX_MESSAGE_BYTES, ProtoError, TransferReply, TransferRequest,
+    WireChannel, peer_server::TOKEN_HEADER,
 };
 
 /// How often an idle connection is asked for a sign of life.
@@ -67,6 +68,19 @@
         self.unary("/medlarspool.Peer/Call", request, timeout).await
     }
 
+    /// Tells the peer's gate of crashes.
+    ///
+    /// # Errors
+    ///
+    /// Returns tonic's status if no confirmation came.
+    pub async fn crash(
+        &self,
+        notice: CrashNotice,
+        timeout: Duration,
+    ) -> Result<CrashConfirmation, Status> {
+        self.unary("/medlarspool.Peer/Crash", notice, timeout).await
+    }
+
     /// Asks the peer's gate what became of one try.
     ///
     /// # Errors
--- a/crates/proto/src/peer_handler.rs
+++ b/crates/proto/src/peer_handler.rs
@@ -1,7 +1,8 @@
 use std::future::Future;
 
 use crate::{
-    CallReply, CallRequest, FateAnswer, FateRequest, TransferReply, TransferRequest, WireChannel,
+    CallReply, CallRequest, CrashConfirmation, CrashNotice, FateAnswer, FateRequest, TransferReply,
+    TransferRequest, WireChannel,
 };
 
 /// What a daemon does for its peers; implemented at the daemon's edge.
@@ -9,6 +10,9 @@
     /// Runs a request at the local upstream, or refuses it.
     fn call(&self, request: CallRequest) -> impl Future<Output = CallReply> + Send;
 
+    /// Takes in what another gate tells of crashes.
+    fn crash(&self, notice: CrashNotice) -> impl Future<Output = CrashConfirmation> + Send;
+
     /// Gives updates or whole lists to a peer that is behind, or puts it off.
     fn transfer(&self, request: TransferRequest) -> impl Future<Output = TransferReply> + Send;
 
--- a/crates/proto/src/peer_server.rs
+++ b/crates/proto/src/peer_server.rs
@@ -67,6 +67,10 @@
                 let handler = Arc::clone(&handler);
                 async move { handler.call(message).await }
             }),
+            "/medlarspool.Peer/Crash" => unary(request, move |message| {
+                let handler = Arc::clone(&handler);
+                async move { handler.crash(message).await }
+            }),
             "/medlarspool.Peer/Fate" => unary(request, move |message| {
                 let handler = Arc::clone(&handler);
                 async move { handler.fate(message).await }
--- /dev/null
+++ b/crates/proto/src/wire_crash.rs
@@ -0,0 +1,12 @@
+use prost::Message;
+
+/// Names one crash of an upstream.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub struct WireCrash {
+    /// The instance whose upstream crashed.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Tells the crashes of that instance apart.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
