Nudge the HTTP servers four times a second, not twenty

Cause: each daemon's three servers were connected to every 50 ms to free connections that tiny_http strands, which an idle daemon paid for. Change: every 250 ms.

--- a/crates/daemon/src/accept_nudge.rs
+++ b/crates/daemon/src/accept_nudge.rs
@@ -9,7 +9,7 @@
 };
 
 /// How often a server is connected to.
-const INTERVAL: Duration = Duration::from_millis(50);
+const INTERVAL: Duration = Duration::from_millis(250);
 
 /// How long such a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
