Tell a crash from a lost connection by several probes

Change: up to 8 probes, 20 ms apart, until one is refused. Conclusion: a lost connection now takes 160 ms longer to be answered if its upstream lives; only failures pay it.

--- a/crates/daemon/src/crash_guard.rs
+++ b/crates/daemon/src/crash_guard.rs
@@ -1,4 +1,5 @@
 use std::{
+    io::ErrorKind,
     net::{SocketAddr, TcpStream},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -17,6 +18,12 @@
 /// How long a lost upstream gets to take a connection before it counts as alive.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The pause between two such attempts.
+const PROBE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How often a lost upstream is tried.
+const PROBES: usize = 8;
+
 /// When a suspect comes back that another suspect's run keeps out.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -96,8 +103,7 @@
 
     /// Notes that a run lost its connection; if the upstream is gone, all that it ran are blamed.
     pub(crate) fn lost(&self, running: Running, upstream: SocketAddr) -> Option<QuarantineNotice> {
-        let is_gone = TcpStream::connect_timeout(&upstream, PROBE_TIMEOUT)
-            .is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
+        let is_gone = is_gone(upstream);
         let mut state = self.lock();
         let is_news = is_gone && running.upstream_life == state.upstream_life;
         let notice = is_news.then(|| self.blame(&mut state));
@@ -199,6 +205,21 @@
     }
 }
 
+/// Tells a crashed upstream from a lost connection: sooner or later it refuses connections.
+///
+/// An ending process closes its connections before its listening socket, so one probe may be taken yet.
+fn is_gone(upstream: SocketAddr) -> bool {
+    (0..PROBES).any(|_| {
+        let probe = TcpStream::connect_timeout(&upstream, PROBE_TIMEOUT);
+        let refused = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        let is_refused = probe.is_err_and(refused);
+        if !is_refused {
+            std::thread::sleep(PROBE_INTERVAL);
+        }
+        is_refused
+    })
+}
+
 fn refused(refusal: Refusal, retry_after: Duration) -> Box<CallReply> {
     Box::new(CallReply {
         retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
