Reckon test addresses instead of probing them; nudge callers' servers often again

Cause: two landings failed since a stand-in found its address in use: a socket bound to find a free port lived on in a process that another thread started. And nudging each 250 ms made callers wait: at half the capacity the median rose from 52 to 156 ms. Change: addresses are reckoned from process and call, one host each, on ports below those of outgoing connections. The callers' server is nudged each 50 ms again, the two side servers each 500 ms.

--- a/crates/bench/examples/quickstart.rs
+++ b/crates/bench/examples/quickstart.rs
@@ -117,7 +117,7 @@
 fn start_daemons(platform: &Arc<FakePlatform>) -> Result<Vec<LocalDaemon>, String> {
     let mut daemons = Vec::new();
     for number in 0..6 {
-        let spec = spec(number)?;
+        let spec = spec(number);
         let daemon = LocalDaemon::start(&spec, Arc::clone(platform) as _)?;
         daemons.push(daemon);
     }
@@ -127,10 +127,10 @@
     Ok(daemons)
 }
 
-fn spec(number: usize) -> Result<DaemonSpec, String> {
-    let address = free_address().map_err(|error| error.to_string())?;
+fn spec(number: usize) -> DaemonSpec {
+    let address = free_address();
     let instance = format!("instance-{number}");
-    Ok(DaemonSpec {
+    DaemonSpec {
         availability_zone: format!("za-1{}", ["a", "b", "c"][number % 3]),
         extra_settings: "spread:\n  join_spread_ms: 200\n".into(),
         instance: instance.clone(),
@@ -146,7 +146,7 @@
             service_time: Duration::from_millis(5),
             slots: 6,
         }),
-    })
+    }
 }
 
 fn wait_for_answer(daemon: &LocalDaemon, service: &str) -> Result<(), String> {
--- a/crates/bench/src/daemon_spec.rs
+++ b/crates/bench/src/daemon_spec.rs
@@ -54,7 +54,7 @@
             "peers_address",
         ];
         for field in addresses {
-            let address = free_address().map_err(|error| error.to_string())?;
+            let address = free_address();
             line(&mut yaml, field, &address.to_string());
         }
         line(&mut yaml, "availability_zone", &self.availability_zone);
--- a/crates/bench/src/loopback.rs
+++ b/crates/bench/src/loopback.rs
@@ -1,23 +1,26 @@
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::atomic::{AtomicU16, Ordering},
 };
 
+/// The lowest port; all lie below those that outgoing connections take.
+const FIRST_PORT: u16 = 10_000;
+
+/// How many ports processes are spread over.
+const PORTS: u32 = 20_000;
+
 static NEXT_HOST: AtomicU16 = AtomicU16::new(0);
 
-/// Returns a free address on a loopback host of its own.
-///
-/// The host differs by process and call, so that no outgoing connection, which starts from
-/// 127.0.0.1, takes the port between this check and its use.
-///
-/// # Errors
+/// Returns an address on a loopback host that no other call or process is given.
 ///
-/// Returns the operating system's error if no port is free.
-pub fn free_address() -> std::io::Result<SocketAddr> {
-    let process = std::process::id().to_be_bytes();
-    let [upper, lower] = NEXT_HOST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let second = 64 | (process[2] & 63);
-    let third = process[3] ^ upper.rotate_left(3);
-    let host = Ipv4Addr::new(127, second, third, lower.max(1));
-    TcpListener::bind((host, 0))?.local_addr()
+/// It is reckoned and never bound here: a socket that was bound to find a free port would live on
+/// in a process that another thread is starting, and keep the port taken.
+#[must_use]
+pub fn free_address() -> SocketAddr {
+    let process = std::process::id();
+    let [.., low] = process.to_be_bytes();
+    let [third, fourth] = NEXT_HOST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let host = Ipv4Addr::new(127, 64 | (low & 63), third, fourth);
+    let offset = u16::try_from((process >> 6) % PORTS).unwrap_or_default();
+    SocketAddr::new(IpAddr::V4(host), FIRST_PORT + offset)
 }
--- a/crates/bench/src/process_daemon.rs
+++ b/crates/bench/src/process_daemon.rs
@@ -73,7 +73,7 @@
             return Ok(());
         };
         self.upstream = None;
-        settings.address = free_address().map_err(|error| error.to_string())?;
+        settings.address = free_address();
         let arguments = settings.arguments();
         let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
         self.upstream = Some(ChildProcess::start(programs.upstream, &arguments)?);
--- a/crates/bench/src/process_fleet.rs
+++ b/crates/bench/src/process_fleet.rs
@@ -36,7 +36,7 @@
     ///
     /// Returns why it can't be started.
     pub fn start(programs: ProgramPaths) -> Result<Self, String> {
-        let address = free_address().map_err(|error| error.to_string())?;
+        let address = free_address();
         let listen = address.to_string();
         let arguments = ["--listen", &listen, "--token", PLATFORM_TOKEN];
         let (platform, _) = ChildProcess::start_and_read_line(programs.platform, &arguments)?;
--- a/crates/bench/src/stand_in_upstream.rs
+++ b/crates/bench/src/stand_in_upstream.rs
@@ -16,6 +16,9 @@
 /// How often an upstream renews its announcement.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often the server is connected to, so that no connection waits unseen.
+const NUDGE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How often a thread looks whether the upstream is stopping.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -47,7 +50,8 @@
     /// Returns why the address can't be listened on or a thread can't be started.
     pub fn start(settings: UpstreamSettings) -> Result<Self, String> {
         let server = Server::http(settings.address).map_err(|error| error.to_string())?;
-        let nudge = AcceptNudge::start(settings.address).map_err(|error| error.to_string())?;
+        let nudge = AcceptNudge::start(settings.address, NUDGE_INTERVAL)
+            .map_err(|error| error.to_string())?;
         let workers = settings.slots * 2;
         let server = Arc::new(server);
         let state = Arc::new(State::new(settings)?);
--- a/crates/daemon/src/accept_nudge.rs
+++ b/crates/daemon/src/accept_nudge.rs
@@ -8,9 +8,6 @@
     time::Duration,
 };
 
-/// How often a server is connected to.
-const INTERVAL: Duration = Duration::from_millis(250);
-
 /// How long such a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -31,7 +28,7 @@
     /// # Errors
     ///
     /// Returns the operating system's error if no thread can be started.
-    pub fn start(address: SocketAddr) -> std::io::Result<Self> {
+    pub fn start(address: SocketAddr, interval: Duration) -> std::io::Result<Self> {
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&stopping);
         let thread = std::thread::Builder::new()
@@ -39,7 +36,7 @@
             .spawn(move || {
                 while !stop.load(Ordering::Acquire) {
                     drop(TcpStream::connect_timeout(&address, CONNECT_TIMEOUT));
-                    std::thread::sleep(INTERVAL);
+                    std::thread::sleep(interval);
                 }
             })?;
         Ok(Self {
--- a/crates/daemon/src/bounded_server.rs
+++ b/crates/daemon/src/bounded_server.rs
@@ -32,6 +32,7 @@
         purpose: &'static str,
         address: SocketAddr,
         workers: usize,
+        nudge_interval: Duration,
         handle: impl Fn(Request) + Clone + Send + 'static,
     ) -> Result<Self, DaemonError> {
         let server = Server::http(address).map_err(|error| DaemonError::Listen {
@@ -39,8 +40,8 @@
             cause: error.to_string(),
             purpose,
         })?;
-        let nudge =
-            AcceptNudge::start(address).map_err(|error| DaemonError::Thread(error.to_string()))?;
+        let nudge = AcceptNudge::start(address, nudge_interval)
+            .map_err(|error| DaemonError::Thread(error.to_string()))?;
         let mut bounded = Self {
             _nudge: nudge,
             server: Arc::new(server),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -36,6 +36,12 @@
 /// How often a draining gate looks whether calls still arrive.
 const QUIET_CHECK: Duration = Duration::from_millis(50);
 
+/// How often the callers' server is connected to; see `docs/design/daemon.md`.
+const CALLERS_NUDGE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How often the other two servers are connected to.
+const SIDE_NUDGE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Workers beyond those that serve callers, who tell the rest to come back.
 const REFUSING_WORKERS: usize = 4;
 
@@ -256,9 +262,15 @@
         shared: Arc::clone(shared),
     });
     let address = shared.settings.administration_address;
-    BoundedServer::start("administration", address, SIDE_WORKERS, move |request| {
-        administration.handle(request);
-    })
+    BoundedServer::start(
+        "administration",
+        address,
+        SIDE_WORKERS,
+        SIDE_NUDGE_INTERVAL,
+        move |request| {
+            administration.handle(request);
+        },
+    )
 }
 
 fn start_announcements(shared: &Arc<Shared>) -> Result<BoundedServer, DaemonError> {
@@ -266,9 +278,15 @@
         shared: Arc::clone(shared),
     });
     let address = shared.settings.announcements_address;
-    BoundedServer::start("announcements", address, SIDE_WORKERS, move |request| {
-        announcements.handle(request);
-    })
+    BoundedServer::start(
+        "announcements",
+        address,
+        SIDE_WORKERS,
+        SIDE_NUDGE_INTERVAL,
+        move |request| {
+            announcements.handle(request);
+        },
+    )
 }
 
 fn start_callers(
@@ -281,9 +299,15 @@
     let entry = Arc::new(Entry::new(shared, calls, gate, peers, runtime.clone()));
     let address = shared.settings.callers_address;
     let workers = shared.settings.worker_threads + REFUSING_WORKERS;
-    BoundedServer::start("callers", address, workers, move |request| {
-        entry.handle(request);
-    })
+    BoundedServer::start(
+        "callers",
+        address,
+        workers,
+        CALLERS_NUDGE_INTERVAL,
+        move |request| {
+            entry.handle(request);
+        },
+    )
 }
 
 fn start_runtime() -> Result<Runtime, DaemonError> {
