--- a/crates/daemon/src/administration.rs
+++ b/crates/daemon/src/administration.rs
@@ -6,7 +6,9 @@
 use serde_json::{Value, json};
 use tiny_http::Request;
 
-use crate::{control_message::ControlMessage, http_reply::HttpReply, shared::Shared};
+use crate::{
+    choices::Choices, control_message::ControlMessage, http_reply::HttpReply, shared::Shared,
+};
 
 /// How long an operator waits for the control thread.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -16,6 +18,7 @@
 
 /// Answers operators and scrapers on an address apart from the callers'.
 pub(crate) struct Administration {
+    pub(crate) choices: Arc<Choices>,
     pub(crate) shared: Arc<Shared>,
 }
 
@@ -54,6 +57,7 @@
         let dump = json!({
             "availability_zone": shared.settings.availability_zone,
             "config": shared.held(),
+            "decisions": self.choices.dump(),
             "directory": **shared.directory.load(),
             "draining": shared.is_draining(),
             "incarnation": shared.incarnation,
--- a/crates/daemon/src/choices.rs
+++ b/crates/daemon/src/choices.rs
@@ -10,6 +10,7 @@
 };
 use medlarspool_proto::Refusal;
 use medlarspool_types::{CallId, InstanceId, ServiceName};
+use serde_json::json;
 
 use crate::{
     control_message::ControlMessage, directory::Directory, hop_end::HopEnd, shared::Shared,
@@ -133,6 +134,24 @@
         decision
     }
 
+    /// Returns the last decisions, the oldest first, for an operator.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let now = self.shared.clock.now();
+        let state = self.lock();
+        let decisions = state.log.iter().map(|decision| {
+            let ago = now.saturating_duration_since(decision.at);
+            json!({
+                "ago_ms": ago.as_millis(),
+                "call": decision.call.to_string(),
+                "expected_ms": decision.expected.as_millis(),
+                "reason": decision.reason.to_string(),
+                "service": decision.service,
+                "upstream": decision.upstream,
+            })
+        });
+        decisions.collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,16 +14,12 @@
 use medlarspool_proto::{FleetKey, MAX_MESSAGE_BYTES, PeerServer};
 use medlarspool_spread::SnapshotHolder;
 use medlarspool_types::{Clock, ConfigHead, Incarnation};
-use tokio::{
-    net::TcpListener,
-    runtime::{Handle, Runtime},
-    sync::oneshot,
-};
+use tokio::{net::TcpListener, runtime::Runtime, sync::oneshot};
 use tonic::transport::{Server, server::TcpIncoming};
 
 use crate::{
     DaemonError, Settings, administration::Administration, announcements::Announcements,
-    bounded_server::BoundedServer, claim_worker::ClaimWorker, control::Control,
+    bounded_server::BoundedServer, choices::Choices, claim_worker::ClaimWorker, control::Control,
     control_message::ControlMessage, datagram_socket::DatagramSocket, directory::Directory,
     entry::Entry, gate::Gate, local_upstream::LocalUpstream, metrics::Metrics, peer_edge::PeerEdge,
     peer_pool::PeerPool, platform_worker::PlatformWorker, shared::Shared,
@@ -105,15 +101,18 @@
         let (peers_stop, stopped) = oneshot::channel();
         let peers = serve_peers(&runtime, &shared, &gate, stopped)?;
         // Callers first: whoever reaches the other two addresses finds the callers' one open, too.
-        let callers = start_callers(
+        let choices = Arc::new(Choices::new(Arc::clone(&shared), &calls));
+        let entry = Entry::new(
             &shared,
             &calls,
+            Arc::clone(&choices),
             Arc::clone(&gate),
             peers_pool,
-            runtime.handle(),
-        )?;
+            runtime.handle().clone(),
+        );
+        let callers = start_callers(&shared, entry)?;
         let announcements = start_announcements(&shared)?;
-        let administration = start_administration(&shared)?;
+        let administration = start_administration(&shared, choices)?;
         let daemon = Self {
             administration,
             announcements,
@@ -257,8 +256,12 @@
     })
 }
 
-fn start_administration(shared: &Arc<Shared>) -> Result<BoundedServer, DaemonError> {
+fn start_administration(
+    shared: &Arc<Shared>,
+    choices: Arc<Choices>,
+) -> Result<BoundedServer, DaemonError> {
     let administration = Arc::new(Administration {
+        choices,
         shared: Arc::clone(shared),
     });
     let address = shared.settings.administration_address;
@@ -289,14 +292,8 @@
     )
 }
 
-fn start_callers(
-    shared: &Arc<Shared>,
-    calls: &CallSettings,
-    gate: Arc<Gate>,
-    peers: Arc<PeerPool>,
-    runtime: &Handle,
-) -> Result<BoundedServer, DaemonError> {
-    let entry = Arc::new(Entry::new(shared, calls, gate, peers, runtime.clone()));
+fn start_callers(shared: &Arc<Shared>, entry: Entry) -> Result<BoundedServer, DaemonError> {
+    let entry = Arc::new(entry);
     let address = shared.settings.callers_address;
     let workers = shared.settings.worker_threads + REFUSING_WORKERS;
     BoundedServer::start(
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -36,7 +36,7 @@
 
 /// Takes callers' requests, admits them by plan and hands them to a gate.
 pub(crate) struct Entry {
-    choices: Choices,
+    choices: Arc<Choices>,
     hop: Hop,
     retry_per_mille: u32,
     runtime: Handle,
@@ -66,12 +66,13 @@
     pub(crate) fn new(
         shared: &Arc<Shared>,
         settings: &CallSettings,
+        choices: Arc<Choices>,
         gate: Arc<Gate>,
         peers: Arc<PeerPool>,
         runtime: Handle,
     ) -> Self {
         Self {
-            choices: Choices::new(Arc::clone(shared), settings),
+            choices,
             hop: Hop {
                 gate,
                 peers,
