Drop an error that a test fleet's settings can no longer give

Cause: addresses are reckoned and not probed since, but the settings of a test daemon still promised an error for when none is free. Conclusion: no behaviour changes.

--- a/crates/bench/src/daemon_spec.rs
+++ b/crates/bench/src/daemon_spec.rs
@@ -35,17 +35,14 @@
     ///
     /// # Errors
     ///
-    /// Returns why no address is free or the settings are refused.
+    /// Returns why the settings are refused.
     pub fn settings(&self) -> Result<Settings, String> {
-        Settings::parse(&self.settings_yaml()?)
+        Settings::parse(&self.settings_yaml())
     }
 
     /// Returns a settings file on free addresses.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no address is free.
-    pub fn settings_yaml(&self) -> Result<String, String> {
+    #[must_use]
+    pub fn settings_yaml(&self) -> String {
         let mut yaml = String::new();
         let addresses = [
             "administration_address",
@@ -54,8 +51,7 @@
             "peers_address",
         ];
         for field in addresses {
-            let address = free_address();
-            line(&mut yaml, field, &address.to_string());
+            line(&mut yaml, field, &free_address().to_string());
         }
         line(&mut yaml, "availability_zone", &self.availability_zone);
         line(&mut yaml, "fleet_key", FLEET_KEY);
@@ -69,7 +65,7 @@
         line(&mut yaml, "platform_token", PLATFORM_TOKEN);
         line(&mut yaml, "region", &self.region);
         yaml.push_str(&self.extra_settings);
-        Ok(yaml)
+        yaml
     }
 }
 
--- a/crates/bench/src/process_daemon.rs
+++ b/crates/bench/src/process_daemon.rs
@@ -30,7 +30,7 @@
         spec: &DaemonSpec,
         folder: &Path,
     ) -> Result<Self, String> {
-        let yaml = spec.settings_yaml()?;
+        let yaml = spec.settings_yaml();
         let settings = Settings::parse(&yaml)?;
         let path = folder.join(format!("{}.yaml", spec.instance));
         std::fs::write(&path, yaml).map_err(|error| error.to_string())?;
