--- /dev/null
+++ b/crates/bench/benches/repair.rs
@@ -0,0 +1,32 @@
+//! Compares the ways to mend lists that are behind or damaged: bytes, round trips, processor time.
+
+use medlarspool_bench::{RepairTrial, RepairWay};
+
+const CHANGES: [usize; 4] = [1, 10, 100, 1_000];
+const CUSTOMERS: [usize; 3] = [1_000, 10_000, 100_000];
+const SEED: u64 = 7;
+
+fn main() {
+    let mut log_beats_whole = true;
+    for customers in CUSTOMERS {
+        let trials = CHANGES.map(|changes| (changes, RepairTrial::new(customers, changes, SEED)));
+        for (changes, trial) in &trials {
+            for way in RepairWay::ALL {
+                let cost = trial.cost(way);
+                let name = format!("{}_{customers}_customers_{changes}_changes", way.name());
+                println!("{name}_bytes {} bytes", cost.bytes);
+                println!("{name}_round_trips {} count", cost.round_trips);
+                println!("{name}_processor {} us", cost.processor.as_micros());
+            }
+            let log = trial.cost(RepairWay::DeltaLog).bytes;
+            log_beats_whole &=
+                *changes * 10 > customers || log < trial.cost(RepairWay::Whole).bytes;
+        }
+    }
+    if log_beats_whole {
+        println!("bound: held");
+    } else {
+        println!("bound: missed delta_log_below_whole");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/page_digests.rs
@@ -0,0 +1,124 @@
+use medlarspool_config::{CustomerEntry, Lists};
+use medlarspool_types::{ConfigDigest, CustomerId};
+
+/// The customers that one page holds on average.
+const CUSTOMERS_A_PAGE: usize = 32;
+/// The bytes of the framing of one entry and its fields on the wire.
+const ENTRY_FRAMING_BYTES: usize = 8;
+
+/// The customers' list cut into pages, with a digest of each page and of groups of pages.
+///
+/// This is the set of signatures of PAPER-recovery-triple-modular-redund-797a.md, section 3.2
+/// (Pittelli and Garcia-Molina 1987): one for the whole detects, more narrow the difference down.
+#[derive(Debug)]
+pub struct PageDigests<'lists> {
+    digests: Vec<u64>,
+    groups: Vec<u64>,
+    pages: Vec<Vec<&'lists CustomerEntry>>,
+}
+
+impl<'lists> PageDigests<'lists> {
+    /// The bytes of one digest on the wire.
+    pub const DIGEST_BYTES: usize = 8;
+
+    /// Cuts lists into this many pages; both sides must take the same number.
+    #[must_use]
+    pub fn of(lists: &'lists Lists, pages: usize) -> Self {
+        let mut cut = vec![Vec::new(); pages];
+        for entry in lists.customers() {
+            cut[page_of(&entry.customer, pages)].push(entry);
+        }
+        let digests: Vec<u64> = cut.iter().map(|page| digest_of(page)).collect();
+        let groups = digests
+            .chunks(group_size(pages))
+            .map(|group| {
+                let bytes: Vec<u8> = group
+                    .iter()
+                    .flat_map(|digest| digest.to_be_bytes())
+                    .collect();
+                short(&bytes)
+            })
+            .collect();
+        Self {
+            digests,
+            groups,
+            pages: cut,
+        }
+    }
+
+    /// Returns how many pages suit lists of this many customers.
+    #[must_use]
+    pub fn page_count(customers: usize) -> usize {
+        (customers / CUSTOMERS_A_PAGE).max(1).next_power_of_two()
+    }
+
+    /// Returns the digests of the groups, which the asker sends first.
+    #[must_use]
+    pub fn groups(&self) -> &[u64] {
+        &self.groups
+    }
+
+    /// Returns the pages of the groups in which two lists differ.
+    #[must_use]
+    pub fn pages_to_compare(&self, other: &Self) -> Vec<usize> {
+        let size = group_size(self.digests.len());
+        (0..self.digests.len())
+            .filter(|page| self.groups[page / size] != other.groups[page / size])
+            .collect()
+    }
+
+    /// Returns those of the pages that differ.
+    #[must_use]
+    pub fn differing(&self, other: &Self, compared: &[usize]) -> Vec<usize> {
+        compared
+            .iter()
+            .copied()
+            .filter(|page| self.digests[*page] != other.digests[*page])
+            .collect()
+    }
+
+    /// Returns the entries of a page.
+    #[must_use]
+    pub fn page(&self, page: usize) -> &[&'lists CustomerEntry] {
+        &self.pages[page]
+    }
+
+    /// Returns the bytes of a page on the wire.
+    #[must_use]
+    pub fn page_bytes(&self, page: usize) -> usize {
+        self.pages[page]
+            .iter()
+            .map(|entry| entry_bytes(entry))
+            .sum()
+    }
+}
+
+fn digest_of(page: &[&CustomerEntry]) -> u64 {
+    let mut bytes = Vec::new();
+    for entry in page {
+        bytes.extend_from_slice(entry.customer.as_str().as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(entry.plan.as_str().as_bytes());
+        bytes.extend_from_slice(&entry.credential_sha256.0);
+    }
+    short(&bytes)
+}
+
+fn entry_bytes(entry: &CustomerEntry) -> usize {
+    let texts = entry.customer.as_str().len() + entry.plan.as_str().len();
+    ENTRY_FRAMING_BYTES + texts + entry.credential_sha256.0.len()
+}
+
+fn group_size(pages: usize) -> usize {
+    pages.isqrt().max(1)
+}
+
+fn page_of(customer: &CustomerId, pages: usize) -> usize {
+    let pages = u64::try_from(pages).unwrap_or(u64::MAX);
+    usize::try_from(short(customer.as_str().as_bytes()) % pages).unwrap_or_default()
+}
+
+fn short(bytes: &[u8]) -> u64 {
+    let digest = ConfigDigest::of(bytes).0;
+    u64::try_from(digest & u128::from(u64::MAX)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/bench/src/repair_trial.rs
@@ -0,0 +1,125 @@
+use std::{hint::black_box, sync::Arc, time::Instant};
+
+use medlarspool_config::{CustomerEntry, Lists, Snapshot};
+use medlarspool_spread::{DeltaUpdate, apply_updates, update_between};
+
+use crate::{PageDigests, RepairCost, RepairWay, SampleLists};
+
+/// How often each way is run; the median counts.
+const RUNS: usize = 3;
+
+/// One daemon that is behind, and one that isn't.
+#[derive(Debug)]
+pub struct RepairTrial {
+    behind: Snapshot,
+    changes: usize,
+    newest: Snapshot,
+    one_change: DeltaUpdate,
+}
+
+impl RepairTrial {
+    /// Makes lists of this many customers and changes this many entries, one in each version.
+    #[must_use]
+    pub fn new(customers: usize, changes: usize, seed: u64) -> Self {
+        let mut sample = SampleLists::new(customers, seed);
+        let behind = sample.snapshot();
+        sample.change(1);
+        let one_change = update_between(&behind, &sample.snapshot());
+        sample.change(changes);
+        Self {
+            behind,
+            changes,
+            newest: sample.snapshot(),
+            one_change,
+        }
+    }
+
+    /// Repairs by one way and returns the cost.
+    ///
+    /// # Panics
+    ///
+    /// If the result is not the newest version.
+    #[must_use]
+    pub fn cost(&self, way: RepairWay) -> RepairCost {
+        let mut runs: Vec<RepairCost> = (0..RUNS).map(|_| self.run(way)).collect();
+        runs.sort_by_key(|cost| cost.processor);
+        runs[RUNS / 2]
+    }
+
+    fn run(&self, way: RepairWay) -> RepairCost {
+        match way {
+            RepairWay::DeltaLog => self.run_delta_log(),
+            RepairWay::Pages => self.run_pages(),
+            RepairWay::Whole => self.run_whole(),
+        }
+    }
+
+    /// Counts the bytes of one update a change, and the time of applying them at once.
+    fn run_delta_log(&self) -> RepairCost {
+        let updates = [update_between(&self.behind, &self.newest)];
+        let start = Instant::now();
+        let mended = apply_updates(&self.behind, &updates).expect("the update applies");
+        let processor = start.elapsed();
+        assert_eq!(mended.head(), self.newest.head());
+        RepairCost {
+            bytes: self.one_change.wire_bytes() * self.changes,
+            processor,
+            round_trips: 1,
+        }
+    }
+
+    fn run_pages(&self) -> RepairCost {
+        let start = Instant::now();
+        let pages = PageDigests::page_count(self.newest.lists().customers().len());
+        let asker = PageDigests::of(self.behind.lists(), pages);
+        let giver = PageDigests::of(self.newest.lists(), pages);
+        let compared = giver.pages_to_compare(&asker);
+        let differing = giver.differing(&asker, &compared);
+        let customers = merged(&asker, &giver, &differing, pages);
+        let lists = self.newest.lists();
+        let lists = Lists::new(customers, lists.plans().to_vec(), lists.services().to_vec())
+            .expect("the pages make up the newest lists");
+        let mended = Snapshot::build(self.newest.head(), Arc::new(lists)).expect("the newest");
+        let processor = start.elapsed();
+        black_box(mended);
+        let digests = giver.groups().len() + compared.len();
+        let content: usize = differing.iter().map(|page| giver.page_bytes(*page)).sum();
+        RepairCost {
+            bytes: digests * PageDigests::DIGEST_BYTES + content,
+            processor,
+            round_trips: 3,
+        }
+    }
+
+    fn run_whole(&self) -> RepairCost {
+        let start = Instant::now();
+        let encoded = self.newest.lists().encode();
+        let lists = Lists::decode(&encoded).expect("an encoding");
+        let mended = Snapshot::build(self.newest.head(), Arc::new(lists)).expect("the newest");
+        let processor = start.elapsed();
+        black_box(mended);
+        RepairCost {
+            bytes: encoded.len(),
+            processor,
+            round_trips: 1,
+        }
+    }
+}
+
+fn merged(
+    asker: &PageDigests<'_>,
+    giver: &PageDigests<'_>,
+    differing: &[usize],
+    pages: usize,
+) -> Vec<CustomerEntry> {
+    (0..pages)
+        .flat_map(|page| {
+            let from = if differing.binary_search(&page).is_ok() {
+                giver
+            } else {
+                asker
+            };
+            from.page(page).iter().map(|entry| (*entry).clone())
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/bench/src/sample_lists.rs
@@ -0,0 +1,101 @@
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fastrand::Rng;
+use medlarspool_config::{CredentialHash, CustomerEntry, Lists, PlanEntry, ServiceEntry, Snapshot};
+use medlarspool_types::{ConfigHead, ConfigVersion};
+
+const PLANS: usize = 20;
+const SERVICES: usize = 50;
+const SERVICES_A_PLAN: usize = 12;
+
+/// Lists of any size and random changes of them, for benches.
+#[derive(Clone, Debug)]
+pub struct SampleLists {
+    customers: Vec<CustomerEntry>,
+    plans: Vec<PlanEntry>,
+    random: Rng,
+    services: Vec<ServiceEntry>,
+    version: ConfigVersion,
+}
+
+impl SampleLists {
+    /// Makes lists with this many customers.
+    #[must_use]
+    pub fn new(customers: usize, seed: u64) -> Self {
+        let mut random = Rng::with_seed(seed);
+        Self {
+            customers: (0..customers).map(|at| customer(at, &mut random)).collect(),
+            plans: (0..PLANS).map(plan).collect(),
+            random,
+            services: (0..SERVICES).map(service).collect(),
+            version: ConfigVersion(1),
+        }
+    }
+
+    /// Changes the plan and the credential of this many customers and makes that the next version.
+    pub fn change(&mut self, entries: usize) {
+        let mut changed = BTreeSet::new();
+        while changed.len() < entries.min(self.customers.len()) {
+            let at = self.random.usize(..self.customers.len());
+            if changed.insert(at) {
+                self.customers[at] = customer(at, &mut self.random);
+            }
+        }
+        self.version = self.version.next();
+    }
+
+    /// Returns the lists.
+    ///
+    /// # Panics
+    ///
+    /// If the sample breaks a rule of the lists.
+    #[must_use]
+    pub fn lists(&self) -> Lists {
+        let customers = self.customers.clone();
+        Lists::new(customers, self.plans.clone(), self.services.clone())
+            .expect("sample lists are fit to be accepted")
+    }
+
+    /// Returns the snapshot of the present version.
+    ///
+    /// # Panics
+    ///
+    /// If the sample breaks a rule of the lists.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let lists = self.lists();
+        let head = ConfigHead {
+            version: self.version,
+            digest: lists.digest(),
+        };
+        Snapshot::build(head, Arc::new(lists)).expect("the digest is that of the lists")
+    }
+}
+
+fn customer(at: usize, random: &mut Rng) -> CustomerEntry {
+    CustomerEntry {
+        credential_sha256: CredentialHash(std::array::from_fn(|_| random.u8(..))),
+        customer: format!("customer-{at:06}").parse().expect("an id"),
+        plan: format!("plan-{:02}", random.usize(..PLANS))
+            .parse()
+            .expect("an id"),
+    }
+}
+
+fn plan(at: usize) -> PlanEntry {
+    PlanEntry {
+        plan: format!("plan-{at:02}").parse().expect("an id"),
+        uses: (0..SERVICES_A_PLAN)
+            .map(|step| service((at + step * 4) % SERVICES).service)
+            .collect(),
+        weight: 1,
+    }
+}
+
+fn service(at: usize) -> ServiceEntry {
+    ServiceEntry {
+        max_request_bytes: 65_536,
+        service: format!("service-{at:03}").parse().expect("an id"),
+        timeout_ms: Duration::from_secs(2),
+    }
+}
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Spread`] is a state machine without sockets, threads or clocks. It decides; its edge reads the
 //! store, sends datagrams and builds snapshots. See `docs/design/spread.md`.
 
+mod config_update;
 mod confirmation;
 mod delta_log;
 mod delta_update;
@@ -31,10 +32,22 @@
 mod transfer_admission;
 
 pub use crate::{
-    delta_log::DeltaLog, delta_update::DeltaUpdate, fetch_outcome::FetchOutcome,
-    fetch_source::FetchSource, link_class::LinkClass, readiness::Readiness, refusal::Refusal,
-    snapshot_holder::SnapshotHolder, spread::Spread, spread_action::SpreadAction,
-    spread_counters::SpreadCounters, spread_event::SpreadEvent, spread_message::SpreadMessage,
-    spread_mode::SpreadMode, spread_peer::SpreadPeer, spread_preference::SpreadPreference,
+    config_update::{apply_updates, read_update, refusal_of, update_between},
+    delta_log::DeltaLog,
+    delta_update::DeltaUpdate,
+    fetch_outcome::FetchOutcome,
+    fetch_source::FetchSource,
+    link_class::LinkClass,
+    readiness::Readiness,
+    refusal::Refusal,
+    snapshot_holder::SnapshotHolder,
+    spread::Spread,
+    spread_action::SpreadAction,
+    spread_counters::SpreadCounters,
+    spread_event::SpreadEvent,
+    spread_message::SpreadMessage,
+    spread_mode::SpreadMode,
+    spread_peer::SpreadPeer,
+    spread_preference::SpreadPreference,
     spread_settings::SpreadSettings,
 };
