--- a/crates/bench/src/stand_in_platform.rs
+++ b/crates/bench/src/stand_in_platform.rs
@@ -23,7 +23,7 @@
 
 /// The platform's HTTP interface over a [`FakePlatform`]; stops when it is dropped.
 ///
-/// `docs/design/platform.md` describes the interface.
+/// `docs/design/store.md` describes the interface.
 pub struct StandInPlatform {
     address: SocketAddr,
     server: Arc<Server>,
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -8,10 +8,14 @@
 pub(crate) enum Arguments {
     /// Check the settings file and stop.
     CheckSettings(PathBuf),
+    /// Check the platform's settings file and stop.
+    CheckSiteSettings(PathBuf),
     /// Print how the command is used.
     Help(String),
     /// Serve by the settings file.
     Serve(PathBuf),
+    /// Serve on the users' platform by its settings file.
+    ServeSite(PathBuf),
     /// Print the version.
     Version,
 }
@@ -23,7 +27,7 @@
             .parse(arguments)
             .map_err(|error| DaemonError::Arguments(error.to_string()))?;
         if matches.opt_present("help") {
-            let brief = "Usage: medlarspoold --settings FILE [--check-settings]";
+            let brief = "Usage: medlarspoold (--settings FILE | --site) [--check-settings]";
             return Ok(Self::Help(options.usage(brief)));
         }
         if matches.opt_present("version") {
@@ -32,19 +36,41 @@
         if let Some(free) = matches.free.first() {
             return Err(DaemonError::Arguments(format!("`{free}` is not an option")));
         }
+        let check = matches.opt_present("check-settings");
+        if matches.opt_present("site") {
+            let path = site_settings_path()?;
+            return Ok(if check {
+                Self::CheckSiteSettings(path)
+            } else {
+                Self::ServeSite(path)
+            });
+        }
         let Some(path) = matches.opt_str("settings") else {
             return Err(DaemonError::Arguments("--settings FILE is missing".into()));
         };
-        if matches.opt_present("check-settings") {
+        if check {
             return Ok(Self::CheckSettings(path.into()));
         }
         Ok(Self::Serve(path.into()))
     }
 }
 
+/// Returns the path of the settings file that the platform names.
+fn site_settings_path() -> Result<PathBuf, DaemonError> {
+    let variable = medlarspool_adapter::SETTINGS_VARIABLE;
+    let path = std::env::var_os(variable);
+    path.map(PathBuf::from)
+        .ok_or_else(|| DaemonError::Arguments(format!("`{variable}` is not set")))
+}
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "the YAML settings file", "FILE");
+    options.optflag(
+        "",
+        "site",
+        "serve on the platform, by the settings file that it names",
+    );
     options.optflag("", "check-settings", "check the settings file and stop");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
--- a/crates/daemon/src/daemon_error.rs
+++ b/crates/daemon/src/daemon_error.rs
@@ -1,10 +1,13 @@
 use displaydoc::Display;
+use medlarspool_edge::EdgeError;
 
 /// Why the daemon can't start.
 #[derive(Debug, Display)]
 pub enum DaemonError {
     /// {0}
     Arguments(String),
+    /// {0}
+    Edge(EdgeError),
     /// can't listen on `{address}` for {purpose}: {cause}
     Listen {
         /// The address from the settings.
@@ -39,10 +42,19 @@
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Arguments(_) | Self::SettingsFile { .. } | Self::SettingsInvalid { .. } => 2,
-            Self::Listen { .. } | Self::Signal(_) | Self::Thread(_) => 1,
+            Self::Arguments(_)
+            | Self::Edge(EdgeError::ReadSettings { .. } | EdgeError::Settings { .. })
+            | Self::SettingsFile { .. }
+            | Self::SettingsInvalid { .. } => 2,
+            Self::Edge(_) | Self::Listen { .. } | Self::Signal(_) | Self::Thread(_) => 1,
         }
     }
 }
 
+impl From<EdgeError> for DaemonError {
+    fn from(error: EdgeError) -> Self {
+        Self::Edge(error)
+    }
+}
+
 impl std::error::Error for DaemonError {}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -18,11 +18,17 @@
             println!("{}: settings are valid", path.display());
             Ok(())
         }
+        Arguments::CheckSiteSettings(path) => {
+            medlarspool_edge::check_site_settings(&path)?;
+            println!("{}: settings are valid", path.display());
+            Ok(())
+        }
         Arguments::Help(text) => {
             println!("{text}");
             Ok(())
         }
         Arguments::Serve(path) => serve(&path),
+        Arguments::ServeSite(path) => Ok(medlarspool_edge::run_site(&path)?),
         Arguments::Version => {
             println!("medlarspoold {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/crates/edge/src/admission.rs
@@ -0,0 +1,19 @@
+use std::time::Duration;
+
+use medlarspool_hop::RefusalReason;
+use tokio::sync::oneshot;
+
+use crate::slot_guard::SlotGuard;
+
+/// What the gate decided on a request.
+pub(crate) enum Admission {
+    Refused {
+        reason: RefusalReason,
+        wait: Duration,
+    },
+    Started(SlotGuard),
+    Waiting {
+        granted: oneshot::Receiver<Result<SlotGuard, RefusalReason>>,
+        ticket: u64,
+    },
+}
--- /dev/null
+++ b/crates/edge/src/answer_body.rs
@@ -0,0 +1,53 @@
+use std::any::Any;
+
+use bytes::Bytes;
+
+use crate::{
+    body_decoder::{BodyDecoder, Decoded},
+    byte_stream::ByteStream,
+};
+
+/// The rest of an answer that is passed on while it comes.
+///
+/// What it holds, such as a slot or a place in a pool, is released when it is dropped.
+pub(crate) struct AnswerBody {
+    pub(crate) decoder: BodyDecoder,
+    pub(crate) first: Bytes,
+    pub(crate) guards: Vec<Box<dyn Any>>,
+    pub(crate) length: Option<u64>,
+    pub(crate) stream: ByteStream,
+}
+
+impl std::fmt::Debug for AnswerBody {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("AnswerBody")
+            .field("length", &self.length)
+            .finish_non_exhaustive()
+    }
+}
+
+impl AnswerBody {
+    /// Returns the next piece, `None` at a proper end, or an error if the answer breaks off.
+    pub(crate) async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
+        if !self.first.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.first)));
+        }
+        let broken = || std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
+        loop {
+            match self.decoder.decode(&mut self.stream.buffer) {
+                Ok(Decoded::Data(data)) => return Ok(Some(data)),
+                Ok(Decoded::End) => return Ok(None),
+                Ok(Decoded::NeedMore) => {}
+                Err(_) => return Err(broken()),
+            }
+            if self.stream.fill().await? == 0 {
+                return if self.decoder.ends_with_close() {
+                    Ok(None)
+                } else {
+                    Err(broken())
+                };
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/app.rs
@@ -0,0 +1,48 @@
+use std::{cell::Cell, net::UdpSocket};
+
+use medlarspool_mesh::{MessageLimits, SiteSettings};
+use tokio::sync::Notify;
+
+use crate::{
+    connection_pool::ConnectionPool, core::Core, metrics::Metrics, run_table::RunTable,
+    store_client::StoreClient,
+};
+
+/// What the tasks of the daemon share.
+pub(crate) struct App {
+    /// Wakes the reading of the configuration when a peer has a newer one.
+    pub(crate) config_behind: Notify,
+    pub(crate) core: Core,
+    /// The moments of work that a planned stop waits for.
+    pub(crate) in_flight: Cell<usize>,
+    pub(crate) limits: Cell<MessageLimits>,
+    pub(crate) metrics: Metrics,
+    pub(crate) peer_pool: ConnectionPool,
+    /// Wakes the requests that wait for a target to be known.
+    pub(crate) peers_changed: Notify,
+    pub(crate) reports: UdpSocket,
+    /// Wakes the writing of this daemon's row.
+    pub(crate) row_changed: Notify,
+    pub(crate) runs: RunTable,
+    pub(crate) settings: SiteSettings,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) store: StoreClient,
+    pub(crate) target_pool: ConnectionPool,
+}
+
+impl App {
+    /// Counts a piece of work until the guard is dropped.
+    pub(crate) fn work(self: &std::rc::Rc<Self>) -> WorkGuard {
+        self.in_flight.set(self.in_flight.get() + 1);
+        WorkGuard(self.clone())
+    }
+}
+
+/// Counts a piece of work that a planned stop waits for.
+pub(crate) struct WorkGuard(std::rc::Rc<App>);
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/body_decoder.rs
@@ -0,0 +1,135 @@
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::{body_framing::BodyFraming, http_fault::HttpFault};
+
+/// The longest line of a chunk's size with its extensions, and of trailers.
+const MAX_CHUNK_LINE_BYTES: usize = 4_096;
+
+/// Takes a body out of the bytes of a connection.
+#[derive(Debug)]
+pub(crate) struct BodyDecoder {
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    ChunkData(u64),
+    ChunkEnd,
+    ChunkSize,
+    Ended,
+    Length(u64),
+    Trailers,
+    UntilClose,
+}
+
+/// What a decoder found in the bytes so far.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Decoded {
+    Data(Bytes),
+    End,
+    NeedMore,
+}
+
+impl BodyDecoder {
+    pub(crate) const fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Chunked => State::ChunkSize,
+            BodyFraming::Length(0) => State::Ended,
+            BodyFraming::Length(length) => State::Length(length),
+            BodyFraming::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Returns whether the body is through.
+    pub(crate) const fn is_ended(&self) -> bool {
+        matches!(self.state, State::Ended)
+    }
+
+    /// Returns whether a close of the connection now ends the body properly.
+    pub(crate) const fn ends_with_close(&self) -> bool {
+        matches!(self.state, State::Ended | State::UntilClose)
+    }
+
+    /// Takes the next piece of the body out of `buffer`.
+    pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Decoded, HttpFault> {
+        loop {
+            match self.state {
+                State::Ended => return Ok(Decoded::End),
+                State::Length(left) => {
+                    let Some(data) = take(buffer, left) else {
+                        return Ok(Decoded::NeedMore);
+                    };
+                    let left = left - data.len() as u64;
+                    self.state = if left == 0 {
+                        State::Ended
+                    } else {
+                        State::Length(left)
+                    };
+                    return Ok(Decoded::Data(data));
+                }
+                State::UntilClose => {
+                    return Ok(match take(buffer, u64::MAX) {
+                        Some(data) => Decoded::Data(data),
+                        None => Decoded::NeedMore,
+                    });
+                }
+                State::ChunkSize => match httparse::parse_chunk_size(buffer) {
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        buffer.advance(used);
+                        self.state = if size == 0 {
+                            State::Trailers
+                        } else {
+                            State::ChunkData(size)
+                        };
+                    }
+                    Ok(httparse::Status::Partial) if buffer.len() <= MAX_CHUNK_LINE_BYTES => {
+                        return Ok(Decoded::NeedMore);
+                    }
+                    _ => return Err(HttpFault::Malformed),
+                },
+                State::ChunkData(left) => {
+                    let Some(data) = take(buffer, left) else {
+                        return Ok(Decoded::NeedMore);
+                    };
+                    let left = left - data.len() as u64;
+                    self.state = if left == 0 {
+                        State::ChunkEnd
+                    } else {
+                        State::ChunkData(left)
+                    };
+                    return Ok(Decoded::Data(data));
+                }
+                State::ChunkEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(Decoded::NeedMore);
+                    }
+                    if &buffer[..2] != b"\r\n" {
+                        return Err(HttpFault::Malformed);
+                    }
+                    buffer.advance(2);
+                    self.state = State::ChunkSize;
+                }
+                State::Trailers => {
+                    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+                        if buffer.len() > MAX_CHUNK_LINE_BYTES {
+                            return Err(HttpFault::Malformed);
+                        }
+                        return Ok(Decoded::NeedMore);
+                    };
+                    buffer.advance(end + 2);
+                    if end == 0 {
+                        self.state = State::Ended;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn take(buffer: &mut BytesMut, most: u64) -> Option<Bytes> {
+    let length = usize::try_from(most)
+        .unwrap_or(usize::MAX)
+        .min(buffer.len());
+    (length > 0).then(|| buffer.split_to(length).freeze())
+}
--- /dev/null
+++ b/crates/edge/src/byte_stream.rs
@@ -0,0 +1,103 @@
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::BytesMut;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// How much is read at once: most messages fit.
+const READ_BYTES: usize = 4_096;
+
+/// After how long without an acknowledgement of sent data a connection counts as lost. Round trips
+/// take milliseconds, and a lost packet is sent again after 200 ms and 600 ms.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
+
+/// After how long without any byte a connection is probed.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
+
+/// How many probes without an answer end a connection.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// A TCP connection with what was read and not yet used.
+#[derive(Debug)]
+pub(crate) struct ByteStream {
+    pub(crate) buffer: BytesMut,
+    pub(crate) idle_since: Instant,
+    stream: TcpStream,
+}
+
+impl ByteStream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(event = "socket-option", error = error.to_string().as_str(); "");
+        }
+        Self {
+            buffer: BytesMut::new(),
+            idle_since: Instant::now(),
+            stream,
+        }
+    }
+
+    /// Opens a connection; silence on it is noticed.
+    pub(crate) async fn connect(address: SocketAddr, most: Duration) -> io::Result<Self> {
+        let stream = tokio::time::timeout(most, TcpStream::connect(address))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = Self::new(stream);
+        stream.notice_silence();
+        Ok(stream)
+    }
+
+    /// Makes the connection fail if the other end is silent, which open connections may go for good.
+    pub(crate) fn notice_silence(&self) {
+        let socket = SockRef::from(&self.stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_AFTER)
+            .with_interval(KEEPALIVE_AFTER)
+            .with_retries(KEEPALIVE_PROBES);
+        let set = socket
+            .set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+            .and_then(|()| socket.set_tcp_keepalive(&keepalive));
+        if let Err(error) = set {
+            log::debug!(event = "socket-option", error = error.to_string().as_str(); "");
+        }
+    }
+
+    /// Reads some bytes into the buffer; returns 0 at the end. Safe to drop while it waits.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.buffer).await
+    }
+
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    pub(crate) async fn shutdown(&mut self) {
+        if let Err(error) = self.stream.shutdown().await {
+            log::trace!(event = "shutdown", error = error.to_string().as_str(); "");
+        }
+    }
+
+    /// Returns whether a kept connection has neither ended nor sent bytes that nobody asked for.
+    pub(crate) fn is_clean(&mut self) -> bool {
+        let mut byte = [0];
+        let nothing = matches!(
+            self.stream.try_read(&mut byte),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock
+        );
+        nothing && self.buffer.is_empty()
+    }
+
+    /// Frees the buffer of a connection that is going to be idle.
+    pub(crate) fn rest(&mut self) {
+        self.buffer = BytesMut::new();
+        self.idle_since = Instant::now();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/connection_pool.rs
@@ -0,0 +1,61 @@
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::byte_stream::ByteStream;
+
+/// Kept connections by address; the one used last is used first.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    idle: RefCell<HashMap<SocketAddr, Vec<ByteStream>>>,
+    max_idle: Duration,
+    max_kept: usize,
+}
+
+impl ConnectionPool {
+    pub(crate) fn new(max_idle: Duration, max_kept: usize) -> Self {
+        Self {
+            idle: RefCell::default(),
+            max_idle,
+            max_kept,
+        }
+    }
+
+    /// Takes a kept connection that is still sound.
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<ByteStream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(mut stream) = kept.pop() {
+            if stream.idle_since.elapsed() < self.max_idle && stream.is_clean() {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for another request.
+    pub(crate) fn keep(&self, address: SocketAddr, mut stream: ByteStream) {
+        stream.rest();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < self.max_kept {
+            kept.push(stream);
+        }
+    }
+
+    /// Drops all kept connections to an address.
+    pub(crate) fn clear(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Drops the connections that were idle for too long.
+    pub(crate) fn sweep(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|stream| now.saturating_duration_since(stream.idle_since) < self.max_idle);
+            !kept.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control.rs
@@ -0,0 +1,30 @@
+use std::rc::Rc;
+
+use medlarspool_adapter::ControlCall;
+
+use crate::{app::App, incoming::Incoming, reply::Reply};
+
+/// Takes the target's announcements.
+pub(crate) async fn serve_target(app: Rc<App>, incoming: Incoming) -> Reply {
+    let method = std::str::from_utf8(&incoming.head.method).unwrap_or_default();
+    let path = std::str::from_utf8(&incoming.head.target).unwrap_or_default();
+    let heard = match ControlCall::parse(method, path) {
+        Some(ControlCall::Announcement(id)) => {
+            medlarspool_adapter::announcement(id, &incoming.body)
+        }
+        Some(ControlCall::Farewell(id)) => medlarspool_adapter::farewell(id, &incoming.body),
+        None => return Reply::status(404),
+    };
+    let taken = match heard {
+        Ok(heard) => app.core.with(|node, cx| node.announce(cx, &heard)),
+        Err(error) => {
+            log::warn!(event = "announcement-invalid", error = error.to_string().as_str(); "");
+            false
+        }
+    };
+    if taken {
+        Reply::with_body(200, "{}").with_header("Content-Type", "application/json")
+    } else {
+        Reply::status(400)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core.rs
@@ -0,0 +1,78 @@
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use stakker::{ActorOwn, CX, Stakker, actor, call, ret_nop};
+use tokio::sync::Notify;
+
+use crate::{app::App, node::Node};
+
+/// The longest wait for the next timer.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+
+/// The actor that holds all that this daemon believes, and the loop that runs its timers.
+pub(crate) struct Core {
+    node: ActorOwn<Node>,
+    stakker: RefCell<Stakker>,
+    timers_changed: Notify,
+}
+
+impl Core {
+    pub(crate) fn new(node: Node) -> Self {
+        let mut stakker = Stakker::new(Instant::now());
+        let owner = actor!(stakker, Node::init(node), ret_nop!());
+        stakker.run(Instant::now(), false);
+        Self {
+            node: owner,
+            stakker: RefCell::new(stakker),
+            timers_changed: Notify::new(),
+        }
+    }
+
+    /// Starts the actor's timers.
+    pub(crate) fn start(&self, app: Rc<App>) {
+        let mut stakker = self.stakker.borrow_mut();
+        call!([self.node, stakker], start(app));
+        stakker.run(Instant::now(), false);
+        drop(stakker);
+        self.timers_changed.notify_one();
+    }
+
+    /// Calls the actor at once and returns what it says.
+    pub(crate) fn with<R>(&self, ask: impl FnOnce(&mut Node, CX![Node]) -> R) -> R {
+        let mut stakker = self.stakker.borrow_mut();
+        let before = stakker.next_expiry();
+        stakker.run(Instant::now(), false);
+        let said = self
+            .node
+            .query(&mut stakker, ask)
+            .expect("the node lives as long as its core");
+        stakker.run(Instant::now(), false);
+        let earlier = match (before, stakker.next_expiry()) {
+            (Some(before), Some(after)) => after < before,
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        if earlier {
+            self.timers_changed.notify_one();
+        }
+        said
+    }
+
+    /// Runs the actor's timers for as long as the process lives.
+    pub(crate) async fn pump(&self) {
+        loop {
+            let wait = {
+                let mut stakker = self.stakker.borrow_mut();
+                stakker.run(Instant::now(), false);
+                stakker.next_wait_max(Instant::now(), MAX_WAIT, false)
+            };
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = self.timers_changed.notified() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/edge_error.rs
@@ -0,0 +1,36 @@
+use std::{net::SocketAddr, path::PathBuf};
+
+use displaydoc::Display;
+use medlarspool_adapter::AdapterError;
+
+/// Why the daemon can't start or has to stop.
+#[derive(Debug, Display)]
+pub enum EdgeError {
+    /// cannot listen on `{address}`: {error}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// cannot read `{path}`: {error}
+    ReadSettings {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// cannot start the event loop: {0}
+    Runtime(std::io::Error),
+    /// `{path}` is not valid: {error}
+    Settings {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        error: AdapterError,
+    },
+    /// cannot take signals: {0}
+    Signal(std::io::Error),
+}
+
+impl std::error::Error for EdgeError {}
--- /dev/null
+++ b/crates/edge/src/entry.rs
@@ -0,0 +1,119 @@
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use medlarspool_adapter::headers;
+use medlarspool_hop::{RefusalReason, hop_header};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::{
+    app::App, entry_call::EntryCall, failure::Failure, forwarded::Forwarded, incoming::Incoming,
+    reply::Reply,
+};
+
+/// Answers one request of a client.
+pub(crate) async fn serve_client(app: Rc<App>, incoming: Incoming) -> Reply {
+    let _work = app.work();
+    let arrived = incoming.arrived;
+    let Some(host) = host(&incoming) else {
+        return Reply::status(400);
+    };
+    let target = incoming.head.target.clone();
+    let path = path(&target);
+    let found = app.core.with(|node, _| {
+        let config = node.config.as_ref().ok_or(RefusalReason::NoConfig)?;
+        let route = config.route(&host, path).ok_or(RefusalReason::NoRoute)?;
+        let route = route.clone();
+        let service = node.next_service(&route);
+        Ok((route, service))
+    });
+    let id = incoming.head.headers.get(headers::REQUEST_ID).cloned();
+    let (route, service) = match found {
+        Ok(found) => found,
+        Err(reason) => {
+            app.metrics.failed(reason);
+            log::info!(event = "refused", id = text(id.as_ref()), reason = reason.as_str(); "");
+            return Failure::not_run(reason).reply(id.as_ref());
+        }
+    };
+    let asked = incoming
+        .head
+        .headers
+        .text(headers::DEADLINE_MS)
+        .and_then(|text| text.parse().ok())
+        .map_or(route.timeout, Duration::from_millis);
+    let deadline = arrived + asked.min(route.timeout);
+    let call = EntryCall {
+        arrived,
+        deadline,
+        forwarded: Rc::new(forwarded(&app, incoming, &host)),
+        route,
+        service,
+    };
+    call.answer(&app).await
+}
+
+fn text(id: Option<&Bytes>) -> &str {
+    id.and_then(|id| std::str::from_utf8(id).ok())
+        .unwrap_or("-")
+}
+
+/// Returns the host of a request; it must be told once.
+fn host(incoming: &Incoming) -> Option<Rc<str>> {
+    let mut hosts = incoming.head.headers.all("host");
+    let host = std::str::from_utf8(hosts.next()?).ok()?;
+    if hosts.next().is_some() {
+        return None;
+    }
+    Some(host.to_ascii_lowercase().into())
+}
+
+/// Returns the path of a request target, which may be a whole URL.
+fn path(target: &[u8]) -> &str {
+    let text = std::str::from_utf8(target).unwrap_or_default();
+    match text.split_once("://") {
+        Some((_, rest)) if !text.starts_with('/') => {
+            rest.find('/').map_or("/", |start| &rest[start..])
+        }
+        _ => text,
+    }
+}
+
+fn forwarded(app: &App, incoming: Incoming, host: &str) -> Forwarded {
+    let mut sent = incoming.head.headers;
+    let id = sent.get(headers::REQUEST_ID).cloned();
+    sent.retain_end_to_end();
+    sent.drop_own(
+        &[
+            headers::CALLER_SERVICE,
+            headers::DEADLINE_MS,
+            headers::EXPECTED_TARGET,
+        ],
+        hop_header::PREFIX,
+    );
+    sent.push(
+        headers::CALLER_SERVICE.as_bytes(),
+        app.settings.service.as_bytes().to_vec(),
+    );
+    let mut hasher = Xxh3Default::new();
+    let parts: [&[u8]; 5] = [
+        &incoming.head.method,
+        host.as_bytes(),
+        &incoming.head.target,
+        app.settings.service.as_bytes(),
+        &incoming.body,
+    ];
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    Forwarded {
+        body: incoming.body,
+        fingerprint: hasher.digest(),
+        framing: incoming.framing,
+        headers: sent,
+        id,
+        method: String::from_utf8_lossy(&incoming.head.method).into(),
+        rest: RefCell::new(incoming.rest),
+        target: incoming.head.target,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/entry_call.rs
@@ -0,0 +1,290 @@
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_hop::RefusalReason;
+use medlarspool_mesh::{Repeat, Route, TargetChoice, TargetQuery};
+use tokio::time::timeout_at;
+
+use crate::{
+    app::App,
+    failure::Failure,
+    forwarded::Forwarded,
+    gate::SHORTEST_SEND,
+    gate_call::GateCall,
+    gate_reply::GateReply,
+    hop::hand_on,
+    hop_route::HopRoute,
+    reply::{Reply, ReplyBody},
+    run_end::RunEnd,
+    units::micros,
+};
+
+/// How long after the deadline a caller is answered at the latest.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+
+/// The part of the time left for which a request waits for a target to be known at all.
+const WAIT_FOR_TARGET_SHARE: f64 = 0.3;
+
+/// How many gates may turn a request away for a better one before it is refused.
+const MAX_TURNS: usize = 4;
+
+/// The shortest time after which a caller is asked back: two hops.
+const SHORTEST_RETRY: Duration = Duration::from_millis(20);
+
+/// One request of a client on its way through this daemon.
+pub(crate) struct EntryCall {
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) forwarded: Rc<Forwarded>,
+    pub(crate) route: Rc<Route>,
+    pub(crate) service: Rc<str>,
+}
+
+/// What the tries so far have shown.
+#[derive(Default)]
+struct Tries {
+    arrivals: u32,
+    excluded: Vec<SocketAddr>,
+    last_reason: Option<RefusalReason>,
+    shortest_wait: Option<Duration>,
+    turns: usize,
+}
+
+impl EntryCall {
+    /// Tries targets until one answers or nothing more may be tried.
+    pub(crate) async fn answer(&self, app: &Rc<App>) -> Reply {
+        app.core
+            .with(|node, cx| node.budget.request(cx.now(), &self.service));
+        let mut tries = Tries::default();
+        let latest = self.deadline + ANSWER_GRACE;
+        let ended = timeout_at(latest.into(), self.try_targets(app, &mut tries)).await;
+        let ended = ended.unwrap_or_else(|_| Err(Failure::may_have_run(RefusalReason::Deadline)));
+        let took = self.arrived.elapsed();
+        match ended {
+            Ok(reply) => {
+                app.metrics.answered(reply.status, took);
+                reply
+            }
+            Err(failure) => {
+                app.metrics.failed(failure.reason);
+                log::info!(
+                    event = "refused", id = self.forwarded.id_text(), reason = failure.reason.as_str(),
+                    verdict = failure.verdict.to_string().as_str(), service = &*self.service,
+                    after_us = micros(took), arrivals = tries.arrivals, turns = tries.turns;
+                    ""
+                );
+                failure.reply(self.forwarded.id.as_ref())
+            }
+        }
+    }
+
+    async fn try_targets(&self, app: &Rc<App>, tries: &mut Tries) -> Result<Reply, Failure> {
+        loop {
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            if left < SHORTEST_SEND {
+                return Err(self.give_up(tries, RefusalReason::Deadline));
+            }
+            let choice = self.choose(app, tries).await?;
+            let call = self.gate_call(app, tries, &choice);
+            let long_body = self.forwarded.rest.borrow().is_some();
+            let hop = InFlight {
+                address: choice.address,
+                app,
+            };
+            let reply = hand_on(app, choice.address, call).await;
+            drop(hop);
+            self.learn(app, &choice, &reply);
+            match reply.end {
+                RunEnd::Answered(answer) => {
+                    tries.arrivals += 1;
+                    if answer.status >= 500 && self.may_repeat(app, tries, &choice) {
+                        continue;
+                    }
+                    let body = match answer.rest {
+                        Some(rest) => ReplyBody::Stream(rest),
+                        None => ReplyBody::Full(answer.whole),
+                    };
+                    return Ok(Reply {
+                        body,
+                        close: false,
+                        headers: answer.headers,
+                        status: answer.status,
+                    });
+                }
+                RunEnd::Lost(reason) => {
+                    tries.arrivals += 1;
+                    if long_body || !self.may_repeat(app, tries, &choice) {
+                        return Err(Failure::may_have_run(reason));
+                    }
+                }
+                RunEnd::NotRun(reason) => {
+                    self.turned_away(app, tries, &choice, reason, reply.load.wait_us)?;
+                    if long_body {
+                        return Err(self.give_up(tries, reason));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Decides what follows a request that did not run.
+    fn turned_away(
+        &self,
+        app: &Rc<App>,
+        tries: &mut Tries,
+        choice: &TargetChoice,
+        reason: RefusalReason,
+        wait_us: u32,
+    ) -> Result<(), Failure> {
+        tries.excluded.push(choice.address);
+        tries.turns += 1;
+        tries.last_reason = Some(reason);
+        match reason {
+            RefusalReason::Quarantined => return Err(self.give_up(tries, reason)),
+            RefusalReason::TargetRefused => {
+                tries.arrivals += 1;
+                if tries.arrivals >= self.route.max_attempts || !self.take_budget(app) {
+                    return Err(self.give_up(tries, reason));
+                }
+            }
+            RefusalReason::Busy => {
+                let wait = Duration::from_micros(wait_us.into());
+                let shortest = tries.shortest_wait.map_or(wait, |other| other.min(wait));
+                tries.shortest_wait = Some(shortest);
+            }
+            _ => {}
+        }
+        if tries.turns > MAX_TURNS {
+            return Err(self.give_up(tries, reason));
+        }
+        Ok(())
+    }
+
+    /// Returns whether a request that may have run is tried again.
+    fn may_repeat(&self, app: &Rc<App>, tries: &mut Tries, choice: &TargetChoice) -> bool {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let repeats = self.route.repeat == Repeat::Idempotent
+            && tries.arrivals < self.route.max_attempts
+            && left > self.route.assumed_run()
+            && self.forwarded.rest.borrow().is_none()
+            && self.take_budget(app);
+        if repeats {
+            tries.excluded.push(choice.address);
+            app.metrics.repeats.inc();
+            log::info!(event = "repeat", id = self.forwarded.id_text(), service = &*self.service, arrivals = tries.arrivals; "");
+        }
+        repeats
+    }
+
+    fn take_budget(&self, app: &Rc<App>) -> bool {
+        app.core.with(|node, cx| {
+            let now = cx.now();
+            let daemons = node.directory.alive(now);
+            node.budget.take(now, &self.service, daemons)
+        })
+    }
+
+    /// Chooses a target; waits for a moment if none is known, as after a start.
+    async fn choose(&self, app: &Rc<App>, tries: &mut Tries) -> Result<TargetChoice, Failure> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let latest = Instant::now() + left.mul_f64(WAIT_FOR_TARGET_SHARE);
+        loop {
+            let changed = app.peers_changed.notified();
+            let query = TargetQuery {
+                assumed_run: self.route.assumed_run(),
+                excluded: &tries.excluded,
+                route: self.route.key,
+                service: &self.service,
+                target_latency: self.route.target_latency,
+            };
+            let choice = app.core.with(|node, cx| node.choose(cx.now(), &query));
+            if let Some(choice) = choice {
+                return Ok(choice);
+            }
+            if !tries.excluded.is_empty() {
+                let reason = tries.last_reason.unwrap_or(RefusalReason::NoTarget);
+                return Err(self.give_up(tries, reason));
+            }
+            if timeout_at(latest.into(), changed).await.is_err() {
+                return Err(self.give_up(tries, RefusalReason::NoTarget));
+            }
+        }
+    }
+
+    fn gate_call(&self, app: &Rc<App>, tries: &Tries, choice: &TargetChoice) -> GateCall {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        let waited = now.saturating_duration_since(self.arrived);
+        let run = app.core.with(|node, _| {
+            let assumed = self.route.assumed_run();
+            let peer = node.directory.peer(choice.address);
+            peer.map_or(assumed, |peer| peer.expected_run(self.route.key, assumed))
+        });
+        let most = left.saturating_sub(run);
+        let patience = match choice.patience {
+            Some(patience) if tries.turns < MAX_TURNS => patience.min(most),
+            _ => most,
+        };
+        GateCall {
+            deadline: self.deadline,
+            forwarded: self.forwarded.clone(),
+            patience,
+            route: HopRoute::of(&self.route, waited),
+            target: choice.target.clone(),
+        }
+    }
+
+    /// Takes in what a reply tells of the target.
+    fn learn(&self, app: &Rc<App>, choice: &TargetChoice, reply: &GateReply) {
+        app.core.with(|node, cx| {
+            let now = cx.now();
+            if let Some(peer) = node.directory.peer_mut(choice.address) {
+                let from_gate = !matches!(
+                    reply.end,
+                    RunEnd::Lost(RefusalReason::HopLost) | RunEnd::NotRun(RefusalReason::HopLost)
+                );
+                if from_gate {
+                    peer.take_load(now, reply.load);
+                }
+                if let Some(run) = reply.run {
+                    peer.take_run(self.route.key, run, self.route.assumed_run());
+                }
+            }
+        });
+    }
+
+    /// Returns the truth on a request that is not tried any more and did not run at the last try.
+    fn give_up(&self, tries: &Tries, reason: RefusalReason) -> Failure {
+        let ran = tries.arrivals > 0
+            && tries.last_reason != Some(RefusalReason::TargetRefused)
+            && self.route.repeat == Repeat::Idempotent;
+        if ran {
+            return Failure::may_have_run(reason);
+        }
+        let wait = tries.shortest_wait.unwrap_or(SHORTEST_RETRY);
+        let spread = wait.mul_f64(0.5 + fastrand::f64());
+        Failure {
+            retry_after: Some(spread.max(SHORTEST_RETRY)),
+            ..Failure::not_run(reason)
+        }
+    }
+}
+
+/// A hop that isn't answered; counted until it is dropped.
+struct InFlight<'a> {
+    address: SocketAddr,
+    app: &'a Rc<App>,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.app.core.with(|node, _| {
+            if let Some(peer) = node.directory.peer_mut(self.address) {
+                peer.in_flight = peer.in_flight.saturating_sub(1);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/failure.rs
@@ -0,0 +1,58 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use medlarspool_adapter::headers;
+use medlarspool_hop::RefusalReason;
+use medlarspool_types::Verdict;
+
+use crate::reply::Reply;
+
+/// Why a caller gets no answer of a target, and what it may believe.
+pub(crate) struct Failure {
+    pub(crate) reason: RefusalReason,
+    /// When the caller may come back.
+    pub(crate) retry_after: Option<Duration>,
+    pub(crate) verdict: Verdict,
+}
+
+impl Failure {
+    pub(crate) const fn not_run(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+            verdict: Verdict::NotRun,
+        }
+    }
+
+    pub(crate) const fn may_have_run(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+            verdict: Verdict::MayHaveRun,
+        }
+    }
+
+    /// Returns the status that tells the caller no more than is true.
+    pub(crate) const fn status(&self) -> u16 {
+        match (self.verdict, self.reason) {
+            (_, RefusalReason::NoRoute) => 404,
+            (Verdict::NotRun, _) => 503,
+            (_, RefusalReason::Deadline) => 504,
+            (_, _) => 502,
+        }
+    }
+
+    pub(crate) fn reply(&self, id: Option<&Bytes>) -> Reply {
+        let mut reply = Reply::status(self.status());
+        if let Some(id) = id {
+            reply
+                .headers
+                .push(headers::REQUEST_ID.as_bytes(), id.clone());
+        }
+        if let Some(retry_after) = self.retry_after {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            reply.headers.push(headers::RETRY_AFTER.as_bytes(), seconds);
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forwarded.rs
@@ -0,0 +1,29 @@
+use std::{cell::RefCell, rc::Rc};
+
+use bytes::Bytes;
+
+use crate::{body_framing::BodyFraming, body_source::BodySource, header_list::HeaderList};
+
+/// A request as it goes on: what is the same at each hop and each try.
+#[derive(Debug)]
+pub(crate) struct Forwarded {
+    pub(crate) body: Bytes,
+    pub(crate) fingerprint: u64,
+    pub(crate) framing: BodyFraming,
+    pub(crate) headers: HeaderList,
+    pub(crate) id: Option<Bytes>,
+    pub(crate) method: Rc<str>,
+    /// The rest of a long body; there is only one try with it.
+    pub(crate) rest: RefCell<Option<BodySource>>,
+    pub(crate) target: Bytes,
+}
+
+impl Forwarded {
+    /// Returns the id for logs.
+    pub(crate) fn id_text(&self) -> &str {
+        self.id
+            .as_deref()
+            .and_then(|id| std::str::from_utf8(id).ok())
+            .unwrap_or("-")
+    }
+}
--- /dev/null
+++ b/crates/edge/src/gate.rs
@@ -0,0 +1,171 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_hop::RefusalReason;
+use medlarspool_mesh::Repeat;
+use tokio::time::timeout_at;
+
+use crate::{
+    admission::Admission, app::App, gate_call::GateCall, gate_reply::GateReply, run_end::RunEnd,
+    run_table::Attached, slot_guard::SlotGuard, target_run::run_at_target,
+    ticket_guard::TicketGuard, units::micros,
+};
+
+/// Runs a request at the target beside this daemon, or says that it did not run.
+///
+/// What may be repeated is cancelled if the caller drops the future. What may not is cancelled only
+/// while it waits; once it runs, its end is kept for an entry that lost the hop.
+pub(crate) async fn pass_gate(app: Rc<App>, call: GateCall) -> GateReply {
+    let id = match &call.forwarded.id {
+        Some(id) if call.route.repeat == Repeat::AtMostOnce => id.clone(),
+        _ => {
+            return match wait_for_slot(&app, &call).await {
+                Ok(slot) => run(&app, call, slot).await,
+                Err(reply) => reply,
+            };
+        }
+    };
+    if !app.runs.begin(&id) {
+        // It came before, or an entry was told that it hadn't: a second run is out of the question.
+        return reply(&app, RunEnd::Lost(RefusalReason::HopLost));
+    }
+    let pending = PendingRun {
+        app: &app,
+        id: &id,
+        armed: true,
+    };
+    let slot = match wait_for_slot(&app, &call).await {
+        Ok(slot) => slot,
+        Err(reply) => {
+            drop(pending);
+            return reply;
+        }
+    };
+    pending.disarm();
+    let Some(receiver) = app.runs.wait(&id) else {
+        return reply(&app, RunEnd::NotRun(RefusalReason::Moved));
+    };
+    let task_app = app.clone();
+    tokio::task::spawn_local(async move {
+        let _work = task_app.work();
+        let reply = run(&task_app, call, slot).await;
+        task_app.runs.end(&id, reply);
+    });
+    match receiver.await {
+        Ok(reply) => reply,
+        Err(_) => reply(&app, RunEnd::Lost(RefusalReason::HopLost)),
+    }
+}
+
+/// Answers an entry that lost the hop of a request.
+pub(crate) async fn attach(app: Rc<App>, id: &bytes::Bytes) -> GateReply {
+    match app.runs.attach(id) {
+        Attached::Ended(reply) => reply,
+        Attached::NeverSeen => reply(&app, RunEnd::NotRun(RefusalReason::HopLost)),
+        Attached::Running(receiver) => match receiver.await {
+            Ok(reply) => reply,
+            Err(_) => reply(&app, RunEnd::Lost(RefusalReason::HopLost)),
+        },
+        Attached::Taken => reply(&app, RunEnd::Lost(RefusalReason::HopLost)),
+    }
+}
+
+/// Notes that a request which waited did not run, also if its entry leaves meanwhile.
+struct PendingRun<'a> {
+    app: &'a Rc<App>,
+    armed: bool,
+    id: &'a bytes::Bytes,
+}
+
+impl PendingRun<'_> {
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for PendingRun<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            let ended = reply(self.app, RunEnd::NotRun(RefusalReason::HopLost));
+            self.app.runs.end(self.id, ended);
+        }
+    }
+}
+
+/// Builds a gate's word with its present load.
+pub(crate) fn reply(app: &Rc<App>, end: RunEnd) -> GateReply {
+    GateReply {
+        end,
+        load: app.core.with(|node, _| node.load()),
+        run: None,
+    }
+}
+
+async fn wait_for_slot(app: &Rc<App>, call: &GateCall) -> Result<SlotGuard, GateReply> {
+    let arrived = Instant::now();
+    let refuse = |reason| Err(reply(app, RunEnd::NotRun(reason)));
+    match app.core.with(|node, _| node.admit(app, call)) {
+        Admission::Refused { reason, wait } => {
+            log::debug!(event = "gate-refused", id = call.forwarded.id_text(), reason = reason.as_str(), wait_us = micros(wait); "");
+            refuse(reason)
+        }
+        Admission::Started(slot) => Ok(slot),
+        Admission::Waiting { granted, ticket } => {
+            let place = TicketGuard {
+                app: app.clone(),
+                ticket,
+            };
+            let expected = app
+                .core
+                .with(|node, _| node.expected_run(call.route.key, call.route.assumed_run));
+            let last_start = call.deadline.checked_sub(expected).unwrap_or(arrived);
+            let granted = timeout_at(last_start.into(), granted).await;
+            drop(place);
+            app.metrics
+                .gate_wait
+                .observe(arrived.elapsed().as_secs_f64());
+            match granted {
+                Ok(Ok(Ok(slot))) => Ok(slot),
+                Ok(Ok(Err(reason))) => refuse(reason),
+                Ok(Err(_)) | Err(_) => refuse(RefusalReason::Busy),
+            }
+        }
+    }
+}
+
+async fn run(app: &Rc<App>, call: GateCall, slot: SlotGuard) -> GateReply {
+    let begun = Instant::now();
+    let mut end = run_at_target(app, &call).await;
+    let took = begun.elapsed();
+    let (succeeded, failed) = match &end {
+        RunEnd::Answered(answer) => (answer.status < 500, answer.status >= 500),
+        RunEnd::Lost(RefusalReason::Deadline) => (false, false),
+        RunEnd::Lost(_) | RunEnd::NotRun(_) => (false, true),
+    };
+    let sample = succeeded.then_some(took).or_else(|| {
+        let slow = matches!(end, RunEnd::Lost(RefusalReason::Deadline));
+        slow.then_some(took)
+    });
+    app.core.with(|node, _| {
+        node.note_run(call.route.key, call.route.assumed_run, sample, failed);
+        if succeeded {
+            node.crashes.clear(call.forwarded.fingerprint);
+        }
+    });
+    if let RunEnd::Answered(answer) = &mut end
+        && let Some(rest) = &mut answer.rest
+    {
+        rest.guards.push(Box::new(slot));
+    } else {
+        drop(slot);
+    }
+    GateReply {
+        run: succeeded.then_some(took),
+        ..reply(app, end)
+    }
+}
+
+/// The shortest time left for which a send makes sense.
+pub(crate) const SHORTEST_SEND: Duration = Duration::from_millis(5);
--- /dev/null
+++ b/crates/edge/src/gate_call.rs
@@ -0,0 +1,16 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{forwarded::Forwarded, hop_route::HopRoute};
+
+/// A request that asks a gate to be run.
+pub(crate) struct GateCall {
+    pub(crate) deadline: Instant,
+    pub(crate) forwarded: Rc<Forwarded>,
+    pub(crate) patience: Duration,
+    pub(crate) route: HopRoute,
+    /// The id of the only target that may run it.
+    pub(crate) target: Rc<str>,
+}
--- /dev/null
+++ b/crates/edge/src/gate_server.rs
@@ -0,0 +1,113 @@
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_adapter::headers;
+use medlarspool_hop::{hop_header, peer_path};
+use medlarspool_types::Verdict;
+
+use crate::{
+    app::App,
+    forwarded::Forwarded,
+    gate::{attach, pass_gate},
+    gate_call::GateCall,
+    gate_reply::GateReply,
+    hop::encode_load,
+    hop_route::HopRoute,
+    incoming::Incoming,
+    reply::{Reply, ReplyBody},
+    run_end::RunEnd,
+};
+
+/// Serves other daemons: requests for the target here, and the configuration.
+pub(crate) async fn serve_peer(app: Rc<App>, incoming: Incoming) -> Reply {
+    if *incoming.head.target == *peer_path::CONFIG.as_bytes() {
+        let bytes = app.core.with(|node, _| node.config_bytes.clone());
+        return if bytes.is_empty() {
+            Reply::status(404)
+        } else {
+            Reply::with_body(200, bytes)
+        };
+    }
+    let _work = app.work();
+    let is_attach = incoming.head.headers.get(hop_header::ATTACH).is_some();
+    let Some(call) = gate_call(incoming) else {
+        return Reply::status(400);
+    };
+    let reply = match &call.forwarded.id {
+        Some(id) if is_attach => attach(app.clone(), &id.clone()).await,
+        _ => pass_gate(app.clone(), call).await,
+    };
+    encode(reply)
+}
+
+fn gate_call(incoming: Incoming) -> Option<GateCall> {
+    let arrived = incoming.arrived;
+    let mut head = incoming.head;
+    let text = |name| head.headers.text(name);
+    let millis = |name| text(name)?.parse().ok().map(Duration::from_millis);
+    let route = HopRoute::decode(text(hop_header::ROUTE)?)?;
+    let target: Rc<str> = text(hop_header::TARGET)?.into();
+    let deadline = arrived + millis(headers::DEADLINE_MS)?;
+    let patience = millis(hop_header::PATIENCE_MS)?;
+    let fingerprint = u64::from_str_radix(text(hop_header::FINGERPRINT)?, 16).ok()?;
+    let id = head.headers.get(headers::REQUEST_ID).cloned();
+    head.headers.retain_end_to_end();
+    head.headers
+        .drop_own(&[headers::DEADLINE_MS], hop_header::PREFIX);
+    let forwarded = Forwarded {
+        body: incoming.body,
+        fingerprint,
+        framing: incoming.framing,
+        headers: head.headers,
+        id,
+        method: std::str::from_utf8(&head.method).ok()?.into(),
+        rest: RefCell::new(incoming.rest),
+        target: head.target,
+    };
+    Some(GateCall {
+        deadline: deadline.max(Instant::now()),
+        forwarded: Rc::new(forwarded),
+        patience,
+        route,
+        target,
+    })
+}
+
+fn encode(reply: GateReply) -> Reply {
+    let load = encode_load(reply.load);
+    let own = |verdict: Verdict| {
+        Reply::status(200)
+            .with_header(hop_header::LOAD, load.clone())
+            .with_header(hop_header::VERDICT, verdict.to_string())
+    };
+    match reply.end {
+        RunEnd::Answered(answer) => {
+            let mut sent = Reply {
+                headers: answer.headers,
+                status: answer.status,
+                ..own(Verdict::Ran)
+            };
+            sent.headers.push(hop_header::LOAD.as_bytes(), load);
+            sent.headers
+                .push(hop_header::VERDICT.as_bytes(), Verdict::Ran.to_string());
+            if let Some(run) = reply.run {
+                sent.headers
+                    .push(hop_header::RUN_US.as_bytes(), run.as_micros().to_string());
+            }
+            sent.body = match answer.rest {
+                Some(rest) => ReplyBody::Stream(rest),
+                None => ReplyBody::Full(answer.whole),
+            };
+            sent
+        }
+        RunEnd::Lost(reason) => {
+            own(Verdict::MayHaveRun).with_header(hop_header::REFUSED, reason.as_str())
+        }
+        RunEnd::NotRun(reason) => {
+            own(Verdict::NotRun).with_header(hop_header::REFUSED, reason.as_str())
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/header_list.rs
@@ -0,0 +1,86 @@
+use bytes::Bytes;
+
+/// The headers of a message, in their order and with their bytes as received.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HeaderList(Vec<(Bytes, Bytes)>);
+
+impl HeaderList {
+    pub(crate) fn push(&mut self, name: impl Into<Bytes>, value: impl Into<Bytes>) {
+        self.0.push((name.into(), value.into()));
+    }
+
+    /// Returns the first value of a header.
+    pub(crate) fn get(&self, name: &str) -> Option<&Bytes> {
+        self.0
+            .iter()
+            .find(|(other, _)| other.eq_ignore_ascii_case(name.as_bytes()))
+            .map(|(_, value)| value)
+    }
+
+    /// Returns the first value of a header if it is text.
+    pub(crate) fn text(&self, name: &str) -> Option<&str> {
+        self.get(name)
+            .and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// Returns all values of a header.
+    pub(crate) fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Bytes> {
+        self.0
+            .iter()
+            .filter(move |(other, _)| other.eq_ignore_ascii_case(name.as_bytes()))
+            .map(|(_, value)| value)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &(Bytes, Bytes)> {
+        self.0.iter()
+    }
+
+    /// Returns whether a list header, such as `Connection`, has this token.
+    pub(crate) fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name)
+            .flat_map(|value| value.split(|byte| *byte == b','))
+            .any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+    }
+
+    /// Keeps only the headers that concern more than one connection.
+    pub(crate) fn retain_end_to_end(&mut self) {
+        let listed: Vec<Bytes> = self.all("connection").cloned().collect();
+        let is_listed = |name: &[u8]| {
+            listed
+                .iter()
+                .flat_map(|value| value.split(|byte| *byte == b','))
+                .any(|part| part.trim_ascii().eq_ignore_ascii_case(name))
+        };
+        self.0.retain(|(name, _)| {
+            !HOP_BY_HOP
+                .iter()
+                .any(|other| name.eq_ignore_ascii_case(other.as_bytes()))
+                && !is_listed(name)
+        });
+    }
+
+    /// Drops the headers of these names and those that begin with `prefix`.
+    pub(crate) fn drop_own(&mut self, names: &[&str], prefix: &str) {
+        self.0.retain(|(name, _)| {
+            let begins = name.len() >= prefix.len()
+                && name[..prefix.len()].eq_ignore_ascii_case(prefix.as_bytes());
+            !begins
+                && !names
+                    .iter()
+                    .any(|other| name.eq_ignore_ascii_case(other.as_bytes()))
+        });
+    }
+}
+
+/// Headers that concern one connection, and those that frame its messages (RFC 9110, 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
--- /dev/null
+++ b/crates/edge/src/hop_route.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use medlarspool_mesh::{Repeat, Route, RouteKey};
+
+/// What a gate has to know of a request's route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct HopRoute {
+    pub(crate) assumed_run: Duration,
+    pub(crate) key: RouteKey,
+    pub(crate) rank: u32,
+    pub(crate) repeat: Repeat,
+    /// What is left of the time within which an answer is worth most.
+    pub(crate) target_latency: Duration,
+}
+
+impl HopRoute {
+    pub(crate) fn of(route: &Route, waited: Duration) -> Self {
+        Self {
+            assumed_run: route.assumed_run(),
+            key: route.key,
+            rank: route.rank,
+            repeat: route.repeat,
+            target_latency: route.target_latency.saturating_sub(waited),
+        }
+    }
+
+    pub(crate) fn encode(&self) -> String {
+        format!(
+            "{:x},{},{},{},{}",
+            self.key.0,
+            u8::from(self.repeat == Repeat::Idempotent),
+            self.rank,
+            self.target_latency.as_millis(),
+            self.assumed_run.as_millis(),
+        )
+    }
+
+    pub(crate) fn decode(text: &str) -> Option<Self> {
+        let mut parts = text.split(',');
+        let key = RouteKey(u64::from_str_radix(parts.next()?, 16).ok()?);
+        let repeat = match parts.next()? {
+            "1" => Repeat::Idempotent,
+            _ => Repeat::AtMostOnce,
+        };
+        let rank = parts.next()?.parse().ok()?;
+        let target_latency = Duration::from_millis(parts.next()?.parse().ok()?);
+        let assumed_run = Duration::from_millis(parts.next()?.parse().ok()?);
+        Some(Self {
+            assumed_run,
+            key,
+            rank,
+            repeat,
+            target_latency,
+        })
+    }
+}
--- /dev/null
+++ b/crates/edge/src/listen.rs
@@ -0,0 +1,64 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::{net::TcpListener, time::sleep};
+
+use crate::{
+    app::App, byte_stream::ByteStream, edge_error::EdgeError, server_connection::Handler,
+    server_connection::ServerConnection, server_options::ServerOptions,
+};
+
+/// How many connections may wait to be taken: a herd of clients comes at once.
+const BACKLOG: i32 = 1_024;
+
+/// How long accepting pauses when the process is out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Opens a listening socket.
+pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, EdgeError> {
+    let open = || {
+        let socket = Socket::new(
+            Domain::for_address(address),
+            Type::STREAM,
+            Some(Protocol::TCP),
+        )?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    open().map_err(|error| EdgeError::Listen { address, error })
+}
+
+/// Serves all connections of a socket.
+pub(crate) async fn accept(
+    app: Rc<App>,
+    listener: TcpListener,
+    handler: Handler,
+    interim_after: Option<Duration>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => ByteStream::new(stream),
+            Err(error) => {
+                log::warn!(event = "accept-failed", error = error.to_string().as_str(); "");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if interim_after.is_some() {
+            stream.notice_silence();
+        }
+        let limits_app = app.clone();
+        let options = Box::new(move || ServerOptions {
+            interim_after,
+            limits: limits_app.limits.get(),
+        });
+        let connection = ServerConnection::new(stream, handler.clone(), options);
+        let stopping_app = app.clone();
+        tokio::task::spawn_local(async move {
+            connection.serve(|| stopping_app.stopping.get()).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/message_head.rs
@@ -0,0 +1,123 @@
+use bytes::{Bytes, BytesMut};
+
+use crate::{header_list::HeaderList, http_fault::HttpFault};
+
+/// The most headers of a message; real ones have some dozens.
+const MAX_HEADERS: usize = 96;
+
+/// The first line and the headers of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) headers: HeaderList,
+    pub(crate) is_http_11: bool,
+    pub(crate) method: Bytes,
+    pub(crate) target: Bytes,
+}
+
+/// The first line and the headers of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct ResponseHead {
+    pub(crate) headers: HeaderList,
+    pub(crate) is_http_11: bool,
+    pub(crate) status: u16,
+}
+
+impl RequestHead {
+    /// Takes a request's head out of `buffer`; returns `None` if it isn't whole yet.
+    pub(crate) fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HttpFault> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut fields);
+        let used = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(used)) => used,
+            Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
+            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+                return Err(HttpFault::HeaderTooLong);
+            }
+            Err(_) => return Err(HttpFault::Malformed),
+        };
+        if used > max_bytes {
+            return Err(HttpFault::HeaderTooLong);
+        }
+        let is_http_11 = parsed.version == Some(1);
+        let method = range(buffer, parsed.method.unwrap_or_default().as_bytes());
+        let target = range(buffer, parsed.path.unwrap_or_default().as_bytes());
+        let ranges = field_ranges(buffer, parsed.headers);
+        let block = buffer.split_to(used).freeze();
+        Ok(Some(Self {
+            headers: header_list(&block, ranges),
+            is_http_11,
+            method: block.slice(method),
+            target: block.slice(target),
+        }))
+    }
+
+    /// Returns whether the client will use the connection again.
+    pub(crate) fn keeps_alive(&self) -> bool {
+        keeps_alive(&self.headers, self.is_http_11)
+    }
+}
+
+impl ResponseHead {
+    /// Takes an answer's head out of `buffer`; returns `None` if it isn't whole yet.
+    pub(crate) fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HttpFault> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut fields);
+        let used = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(used)) => used,
+            Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
+            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+                return Err(HttpFault::HeaderTooLong);
+            }
+            Err(_) => return Err(HttpFault::Malformed),
+        };
+        let is_http_11 = parsed.version == Some(1);
+        let status = parsed.code.unwrap_or_default();
+        let ranges = field_ranges(buffer, parsed.headers);
+        let block = buffer.split_to(used).freeze();
+        Ok(Some(Self {
+            headers: header_list(&block, ranges),
+            is_http_11,
+            status,
+        }))
+    }
+
+    /// Returns whether the sender will use the connection again.
+    pub(crate) fn keeps_alive(&self) -> bool {
+        keeps_alive(&self.headers, self.is_http_11)
+    }
+}
+
+type Range = std::ops::Range<usize>;
+
+fn keeps_alive(headers: &HeaderList, is_http_11: bool) -> bool {
+    if headers.has_token("connection", "close") {
+        return false;
+    }
+    is_http_11 || headers.has_token("connection", "keep-alive")
+}
+
+/// Returns where `part`, a slice of `whole`, lies in it.
+fn range(whole: &[u8], part: &[u8]) -> Range {
+    let start = part.as_ptr() as usize - whole.as_ptr() as usize;
+    start..start + part.len()
+}
+
+fn field_ranges(buffer: &[u8], fields: &[httparse::Header]) -> Vec<(Range, Range)> {
+    fields
+        .iter()
+        .map(|field| {
+            (
+                range(buffer, field.name.as_bytes()),
+                range(buffer, field.value),
+            )
+        })
+        .collect()
+}
+
+fn header_list(block: &Bytes, ranges: Vec<(Range, Range)>) -> HeaderList {
+    let mut headers = HeaderList::default();
+    for (name, value) in ranges {
+        headers.push(block.slice(name), block.slice(value));
+    }
+    headers
+}
--- /dev/null
+++ b/crates/edge/src/node.rs
@@ -0,0 +1,310 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use medlarspool_hop::Report;
+use medlarspool_mesh::{
+    ArrivalBudget, CrashList, Directory, GateQueue, MeshConfig, OwnTarget, PeerRecord, Route,
+    RouteKey, RunTimes, SiteSettings, SplitCursor, TargetChoice, TargetLoad, TargetQuery,
+};
+use stakker::{CX, after};
+
+use crate::{app::App, waiter::Waiter};
+
+/// How often a daemon reports to the others. Three lost reports in a row make it count as silent.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The most daemons that are told in one turn; in larger fleets the turns go round.
+const REPORT_FANOUT: usize = 40;
+
+/// How many crashes a report tells of.
+const CRASHES_IN_REPORT: usize = 12;
+
+/// How many other daemons' addresses a report tells of.
+const KNOWN_IN_REPORT: usize = 2;
+
+/// After how long a silent daemon is forgotten; the store's rows bring it back if it returns.
+const FORGET_AFTER: Duration = Duration::from_mins(1);
+
+/// After how long a daemon that was silent is told only now and then.
+const QUIET_AFTER: Duration = Duration::from_secs(5);
+
+/// Every how many turns a daemon that was silent for long is told.
+const QUIET_TURNS: u64 = 4;
+
+/// The random start of a split's cycle is drawn from as many turns.
+const SPLIT_TURNS: usize = 16;
+
+/// All that a daemon believes: the configuration, the other daemons, its target and its gate.
+pub(crate) struct Node {
+    pub(crate) app: Option<Rc<App>>,
+    pub(crate) budget: ArrivalBudget,
+    pub(crate) config: Option<Rc<MeshConfig>>,
+    pub(crate) config_bytes: Bytes,
+    pub(crate) crashes: CrashList,
+    pub(crate) directory: Directory,
+    pub(crate) failing: f64,
+    pub(crate) incarnation: u64,
+    pub(crate) last_crash: Option<(Instant, u64)>,
+    pub(crate) newest_peer_config: (u64, Option<SocketAddr>),
+    pub(crate) next_run: u64,
+    pub(crate) own: OwnTarget,
+    pub(crate) queue: GateQueue,
+    pub(crate) report: u64,
+    pub(crate) run_times: RunTimes,
+    pub(crate) running: HashMap<u64, u64>,
+    pub(crate) serving: bool,
+    pub(crate) settings: SiteSettings,
+    pub(crate) splits: HashMap<RouteKey, SplitCursor>,
+    pub(crate) started: Instant,
+    pub(crate) turn: u64,
+    pub(crate) urgent: bool,
+    pub(crate) waiters: HashMap<u64, Waiter>,
+}
+
+impl Node {
+    pub(crate) fn new(settings: SiteSettings, incarnation: u64, now: Instant) -> Self {
+        Self {
+            app: None,
+            budget: ArrivalBudget::new(
+                settings.budget_ratio,
+                settings.budget_slack,
+                settings.budget_window,
+            ),
+            config: None,
+            config_bytes: Bytes::new(),
+            crashes: CrashList::default(),
+            directory: Directory::new(settings.availability_zone.clone()),
+            failing: 0.0,
+            incarnation,
+            last_crash: None,
+            newest_peer_config: (0, None),
+            next_run: 1,
+            own: OwnTarget::default(),
+            queue: GateQueue::new(0),
+            report: 0,
+            run_times: RunTimes::default(),
+            running: HashMap::new(),
+            serving: true,
+            settings,
+            splits: HashMap::new(),
+            started: now,
+            turn: 0,
+            urgent: false,
+            waiters: HashMap::new(),
+        }
+    }
+
+    /// Makes the actor.
+    #[allow(clippy::unnecessary_wraps)] // the signature that `stakker` asks for
+    pub(crate) fn init(_: CX![], node: Self) -> Option<Self> {
+        Some(node)
+    }
+
+    /// Starts the reports.
+    pub(crate) fn start(&mut self, cx: CX![], app: Rc<App>) {
+        self.app = Some(app);
+        self.tick(cx);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        self.turn += 1;
+        self.directory.forget_silent(now, FORGET_AFTER);
+        self.send_reports(now, false);
+        if let Some(app) = &self.app {
+            app.target_pool.sweep(now);
+            app.peer_pool.sweep(now);
+            app.runs.sweep(now);
+        }
+        after!(REPORT_INTERVAL, [cx], tick());
+    }
+
+    /// Tells all daemons soon what has changed; several changes at once make one report.
+    pub(crate) fn tell_soon(&mut self, cx: CX![]) {
+        if !std::mem::replace(&mut self.urgent, true) {
+            after!(Duration::from_millis(1), [cx], tell_now());
+        }
+    }
+
+    fn tell_now(&mut self, cx: CX![]) {
+        self.urgent = false;
+        let now = cx.now();
+        self.send_reports(now, true);
+    }
+
+    /// Returns what this daemon tells of itself, with the next number.
+    pub(crate) fn next_record(&mut self) -> PeerRecord {
+        self.report += 1;
+        PeerRecord {
+            address: self.settings.peer_address,
+            availability_zone: self.settings.availability_zone.clone(),
+            incarnation: self.incarnation,
+            load: self.load(),
+            report: self.report,
+            serving: self.serving,
+            target: self.own.usable().cloned(),
+        }
+    }
+
+    /// Returns how busy the target is.
+    pub(crate) fn load(&self) -> TargetLoad {
+        let wait = self.queue.expected_wait(u32::MAX);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let failing_of_256 = (self.failing * 256.0) as u32;
+        TargetLoad {
+            failing_of_256,
+            running: self.queue.running(),
+            wait_us: u32::try_from(wait.as_micros()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.queue.waiting()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn send_reports(&mut self, now: Instant, to_all: bool) {
+        let record = self.next_record();
+        self.directory.hear(now, record.clone());
+        let own = self.settings.peer_address;
+        let turn = self.turn;
+        let told: Vec<SocketAddr> = self
+            .directory
+            .peers()
+            .filter(|(address, peer)| {
+                let quiet = peer
+                    .silent_for(now)
+                    .is_none_or(|silent| silent > QUIET_AFTER);
+                let young = now.saturating_duration_since(self.started) < QUIET_AFTER;
+                **address != own && (!quiet || young || turn.is_multiple_of(QUIET_TURNS))
+            })
+            .map(|(address, _)| *address)
+            .collect();
+        let turns = told.len().div_ceil(REPORT_FANOUT).max(1);
+        let this_turn = usize::try_from(turn).unwrap_or_default() % turns;
+        for (index, address) in told.iter().enumerate() {
+            if to_all || index % turns == this_turn {
+                self.send_report(*address, record.clone(), false);
+            }
+        }
+    }
+
+    /// Sends one report.
+    pub(crate) fn send_report(&self, to: SocketAddr, sender: PeerRecord, first: bool) {
+        let Some(app) = &self.app else { return };
+        let peer = self.directory.peer(to);
+        let known: Vec<SocketAddr> = self
+            .directory
+            .peers()
+            .map(|(address, _)| *address)
+            .collect();
+        let known = (0..KNOWN_IN_REPORT.min(known.len()))
+            .map(|_| known[fastrand::usize(..known.len())])
+            .collect();
+        let report = Report {
+            answer: first,
+            config_version: self.config.as_ref().map_or(0, |config| config.version),
+            crashes: self.crashes.latest(CRASHES_IN_REPORT),
+            heard_report: peer.map_or(0, |peer| peer.record().report),
+            known,
+            sender,
+            your_target: None,
+        };
+        if let Err(error) = app.reports.send_to(&report.encode(), to) {
+            app.metrics.reports_unsent.inc();
+            log::debug!(event = "report-unsent", peer = to.to_string().as_str(), error = error.to_string().as_str(); "");
+        }
+    }
+
+    /// Takes in another daemon's report.
+    pub(crate) fn hear(&mut self, cx: CX![], report: Report) {
+        let now = cx.now();
+        let from = report.sender.address;
+        if from == self.settings.peer_address {
+            return;
+        }
+        if report.config_version > self.newest_peer_config.0 {
+            self.newest_peer_config = (report.config_version, Some(from));
+        }
+        let behind = self
+            .config
+            .as_ref()
+            .is_none_or(|config| config.version < report.config_version);
+        for (fingerprint, id) in &report.crashes {
+            self.crashes.record(now, *fingerprint, *id);
+        }
+        let silent = self
+            .directory
+            .peer(from)
+            .is_none_or(|peer| !peer.is_alive(now));
+        let unknown = self.directory.hear(now, report.sender);
+        if unknown || report.answer {
+            let record = self.next_record();
+            self.send_report(from, record, false);
+        }
+        for address in report.known {
+            if address != self.settings.peer_address && self.directory.peer(address).is_none() {
+                let record = self.next_record();
+                self.send_report(address, record, true);
+            }
+        }
+        if let Some(app) = &self.app {
+            if silent {
+                log::info!(event = "peer-heard", peer = from.to_string().as_str(); "");
+                app.peers_changed.notify_waiters();
+            }
+            if behind && report.config_version > 0 {
+                app.config_behind.notify_one();
+            }
+        }
+    }
+
+    /// Puts a version in force; returns whether it is newer than the one in force.
+    pub(crate) fn put_config(&mut self, cx: CX![], config: MeshConfig, bytes: Bytes) -> bool {
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|known| known.version < config.version);
+        if newer {
+            log::info!(event = "config", version = config.version, routes = config.route_count(); "");
+            if let Some(app) = &self.app {
+                app.limits.set(config.limits);
+                app.metrics.config_version.set(config.version.cast_signed());
+                app.peers_changed.notify_waiters();
+            }
+            self.config = Some(Rc::new(config));
+            self.config_bytes = bytes;
+            self.splits.clear();
+            self.tell_soon(cx);
+        }
+        newer
+    }
+
+    /// Returns the service of a route's next request, by the weights of its parts.
+    pub(crate) fn next_service(&mut self, route: &Route) -> Rc<str> {
+        let index = if route.parts.len() == 1 {
+            0
+        } else {
+            let cursor = self.splits.entry(route.key).or_insert_with(|| {
+                SplitCursor::starting_at(&route.parts, fastrand::usize(..SPLIT_TURNS))
+            });
+            cursor.next(&route.parts)
+        };
+        route.parts[index].service.clone()
+    }
+
+    /// Chooses a target and counts the hop to it.
+    pub(crate) fn choose(&mut self, now: Instant, query: &TargetQuery) -> Option<TargetChoice> {
+        let own = self.settings.peer_address;
+        let load = self.load();
+        if let Some(peer) = self.directory.peer_mut(own) {
+            peer.take_load(now, load);
+        }
+        let choice = self.directory.choose(now, query)?;
+        if let Some(peer) = self.directory.peer_mut(choice.address) {
+            peer.in_flight += 1;
+        }
+        Some(choice)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node_gate.rs
@@ -0,0 +1,199 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_hop::RefusalReason;
+use medlarspool_mesh::{
+    AnnouncedState, Announcement, MeshConfig, Offer, RouteKey, TargetRecord, WaitingWork,
+};
+use stakker::CX;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    admission::Admission, app::App, gate_call::GateCall, node::Node, slot_guard::SlotGuard,
+    waiter::Waiter,
+};
+
+/// The weight of a new run in the share of runs that fail: it follows within about ten runs.
+const FAILING_SAMPLE_SHARE: f64 = 0.1;
+
+/// Connections that break within this time belong to the same crash.
+const SAME_CRASH: Duration = Duration::from_secs(1);
+
+/// The part of the usual run time that a request must still have for a start to make sense.
+const LAST_START_SHARE: f64 = 0.8;
+
+impl Node {
+    /// Takes in an announcement of the target; returns whether it is acknowledged.
+    pub(crate) fn announce(&mut self, cx: CX![], heard: &Announcement) -> bool {
+        if let (Some(service), Some(config)) = (&heard.service, &self.config)
+            && !names_service(config, service)
+        {
+            return false;
+        }
+        let life =
+            |record: Option<&TargetRecord>| record.map(|known| (known.id.clone(), known.born_ms));
+        let before = life(self.own.record());
+        if self.own.announce(cx.now(), heard) {
+            if before != life(self.own.record()) {
+                self.run_times.clear();
+                self.failing = 0.0;
+            }
+            self.target_changed(cx);
+            let what = self
+                .own
+                .record()
+                .map_or(AnnouncedState::Gone, |known| known.state);
+            log::info!(event = "target", id = &*heard.id, state = what.to_string().as_str(), born_ms = heard.born_ms, sequence = heard.sequence; "");
+        }
+        true
+    }
+
+    /// Follows a change of the target: its slots, and who still waits for it.
+    pub(crate) fn target_changed(&mut self, cx: CX![]) {
+        let slots = self.own.usable().map(|target| target.slots);
+        self.queue.set_slots(slots.unwrap_or_default());
+        if slots.is_none() {
+            for ticket in self.queue.clear() {
+                if let Some(waiter) = self.waiters.remove(&ticket) {
+                    // A waiter that left needs no word.
+                    let _ = waiter.sender.send(Err(RefusalReason::Moved));
+                }
+            }
+        }
+        self.pump(cx.now());
+        self.tell_soon(cx);
+        if let Some(app) = &self.app {
+            app.row_changed.notify_one();
+        }
+    }
+
+    /// Decides whether a request runs here, and when.
+    pub(crate) fn admit(&mut self, app: &Rc<App>, call: &GateCall) -> Admission {
+        let now = Instant::now();
+        let refused = |reason, wait| Admission::Refused { reason, wait };
+        let Some(target) = self.own.usable() else {
+            return refused(RefusalReason::Moved, Duration::ZERO);
+        };
+        if target.id != call.target {
+            return refused(RefusalReason::Moved, Duration::ZERO);
+        }
+        if self.crashes.refuses(now, call.forwarded.fingerprint) {
+            return refused(RefusalReason::Quarantined, Duration::ZERO);
+        }
+        let expected_run = self
+            .run_times
+            .expected(call.route.key, call.route.assumed_run);
+        let work = WaitingWork {
+            aim_start: now + call.route.target_latency.saturating_sub(expected_run),
+            expected_run,
+            last_start: call
+                .deadline
+                .checked_sub(expected_run.mul_f64(LAST_START_SHARE))
+                .unwrap_or(now),
+            rank: call.route.rank,
+        };
+        match self.queue.offer(now, work, call.patience) {
+            Offer::Refuse { wait } => refused(RefusalReason::Busy, wait),
+            Offer::Start => {
+                let fingerprint = call.forwarded.fingerprint;
+                Admission::Started(self.begin_run(app, fingerprint, expected_run))
+            }
+            Offer::Wait(ticket) => {
+                let (sender, granted) = oneshot::channel();
+                let waiter = Waiter {
+                    expected_run,
+                    fingerprint: call.forwarded.fingerprint,
+                    sender,
+                };
+                self.waiters.insert(ticket, waiter);
+                Admission::Waiting { granted, ticket }
+            }
+        }
+    }
+
+    /// Counts a run that starts.
+    fn begin_run(&mut self, app: &Rc<App>, fingerprint: u64, expected_run: Duration) -> SlotGuard {
+        let run = self.next_run;
+        self.next_run += 1;
+        self.running.insert(run, fingerprint);
+        SlotGuard::new(app.clone(), run, expected_run)
+    }
+
+    /// Returns how long a run of the route is expected to take here.
+    pub(crate) fn expected_run(&self, route: RouteKey, assumed: Duration) -> Duration {
+        self.run_times.expected(route, assumed)
+    }
+
+    /// Takes a slot back and gives it to the next request.
+    pub(crate) fn end_run(&mut self, run: u64, expected_run: Duration) {
+        self.running.remove(&run);
+        self.queue.finish(expected_run);
+        self.pump(Instant::now());
+    }
+
+    /// Removes a request that waited too long or left.
+    pub(crate) fn cancel_wait(&mut self, ticket: u64) {
+        self.queue.cancel(ticket);
+        self.waiters.remove(&ticket);
+    }
+
+    /// Takes in how a run went.
+    pub(crate) fn note_run(
+        &mut self,
+        route: RouteKey,
+        assumed: Duration,
+        took: Option<Duration>,
+        failed: bool,
+    ) {
+        let sample = f64::from(u8::from(failed));
+        self.failing += (sample - self.failing) * FAILING_SAMPLE_SHARE;
+        if let Some(took) = took {
+            self.run_times.record(route, took, assumed);
+        }
+    }
+
+    /// Takes in that the target crashed; what ran there is suspected.
+    pub(crate) fn note_crash(&mut self, cx: CX![], fingerprint: u64) {
+        let now = cx.now();
+        let id = match self.last_crash {
+            Some((at, id)) if now.saturating_duration_since(at) < SAME_CRASH => id,
+            _ => {
+                let life = self.own.record().map_or(0, |target| target.born_ms);
+                let name = format!("{} {life} {}", self.settings.peer_address, self.next_run);
+                xxh3_64(name.as_bytes())
+            }
+        };
+        self.last_crash = Some((now, id));
+        self.crashes.record(now, fingerprint, id);
+        for running in self.running.values() {
+            self.crashes.record(now, *running, id);
+        }
+        if self.own.mark_down() {
+            log::warn!(event = "target-down", fingerprint = fingerprint; "");
+            self.target_changed(cx);
+        }
+    }
+
+    fn pump(&mut self, now: Instant) {
+        let Some(app) = self.app.clone() else { return };
+        while let Some(ticket) = self.queue.next(now) {
+            let Some(waiter) = self.waiters.remove(&ticket) else {
+                self.queue.finish(Duration::ZERO);
+                continue;
+            };
+            let slot = self.begin_run(&app, waiter.fingerprint, waiter.expected_run);
+            if let Err(Ok(slot)) = waiter.sender.send(Ok(slot)) {
+                let (run, expected_run) = slot.disarm();
+                self.running.remove(&run);
+                self.queue.finish(expected_run);
+            }
+        }
+    }
+}
+
+fn names_service(config: &MeshConfig, service: &Rc<str>) -> bool {
+    config.health_paths.contains_key(service)
+}
--- /dev/null
+++ b/crates/edge/src/outgoing.rs
@@ -0,0 +1,65 @@
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::{
+    body_framing::BodyFraming,
+    body_source::BodySource,
+    header_list::HeaderList,
+    reply_head::{put_headers, put_length},
+};
+
+/// A request to be sent.
+#[derive(Debug)]
+pub(crate) struct Outgoing<'a> {
+    /// The body, or its beginning.
+    pub(crate) body: &'a Bytes,
+    /// Headers that come with each send, beside those of the request.
+    pub(crate) extra: &'a HeaderList,
+    pub(crate) framing: BodyFraming,
+    pub(crate) headers: &'a HeaderList,
+    pub(crate) method: &'a str,
+    /// The rest of a long body.
+    pub(crate) rest: Option<&'a mut BodySource>,
+    pub(crate) target: &'a [u8],
+    /// The id that the answer has to bear, if it has to.
+    pub(crate) expected_id: Option<&'a [u8]>,
+}
+
+impl Outgoing<'_> {
+    /// Returns the head and what is known of the body.
+    pub(crate) fn first_bytes(&self) -> BytesMut {
+        let mut out = BytesMut::with_capacity(512 + self.body.len());
+        out.put_slice(self.method.as_bytes());
+        out.put_slice(b" ");
+        out.put_slice(self.target);
+        out.put_slice(b" HTTP/1.1\r\n");
+        put_headers(&mut out, self.headers);
+        put_headers(&mut out, self.extra);
+        match (self.rest.is_some(), self.framing) {
+            (true, BodyFraming::Length(length)) => put_length(&mut out, length),
+            (true, _) => out.put_slice(b"Transfer-Encoding: chunked\r\n"),
+            (false, _) if self.body.is_empty() && !expects_length(self.method) => {}
+            (false, _) => put_length(&mut out, self.body.len() as u64),
+        }
+        out.put_slice(b"\r\n");
+        if self.is_chunked() {
+            put_chunk(&mut out, self.body);
+        } else {
+            out.put_slice(self.body);
+        }
+        out
+    }
+
+    pub(crate) const fn is_chunked(&self) -> bool {
+        self.rest.is_some() && !matches!(self.framing, BodyFraming::Length(_))
+    }
+}
+
+pub(crate) fn put_chunk(out: &mut BytesMut, piece: &[u8]) {
+    out.put_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+    out.put_slice(piece);
+    out.put_slice(b"\r\n");
+}
+
+fn expects_length(method: &str) -> bool {
+    matches!(method, "PATCH" | "POST" | "PUT")
+}
--- /dev/null
+++ b/crates/edge/src/peer_sync.rs
@@ -0,0 +1,135 @@
+use std::{rc::Rc, time::Duration};
+
+use medlarspool_adapter::{StoreCall, StoreWrite};
+use medlarspool_hop::Report;
+use tokio::time::{sleep, timeout};
+
+use crate::{app::App, store_client::backoff};
+
+/// The table of this system in which daemons find each other.
+const PEERS_TABLE: &str = "peers";
+
+/// How long after a start the rows are read again: all daemons start within 0.3 s of each other.
+const SECOND_READ: Duration = Duration::from_millis(1_500);
+
+/// How often the rows are read while all is well; reports tell of most changes.
+const READ_INTERVAL: Duration = Duration::from_secs(30);
+
+/// How long changes of the own row are gathered into one write.
+const GATHER: Duration = Duration::from_millis(150);
+
+/// Keeps this daemon's row in the store.
+pub(crate) async fn keep_row(app: Rc<App>) {
+    loop {
+        write_row(&app).await;
+        app.row_changed.notified().await;
+        sleep(GATHER).await;
+    }
+}
+
+async fn write_row(app: &Rc<App>) {
+    let mut failures = 0;
+    loop {
+        let sender = app.core.with(|node, _| {
+            let mut record = node.next_record();
+            record.target = node.own.record().cloned();
+            record
+        });
+        let key = sender.address.to_string();
+        let row = Report {
+            answer: false,
+            config_version: 0,
+            crashes: Vec::new(),
+            heard_report: 0,
+            known: Vec::new(),
+            sender,
+            your_target: None,
+        };
+        let call = StoreCall::Write(StoreWrite {
+            key,
+            part: "",
+            table: PEERS_TABLE,
+            value: row.encode(),
+        });
+        if app.store.call(&app.metrics, &call).await.is_ok() {
+            return;
+        }
+        sleep(backoff(failures)).await;
+        failures += 1;
+    }
+}
+
+/// Removes this daemon's row, for an instance that leaves with its target.
+pub(crate) async fn remove_row(app: &Rc<App>) {
+    let key = app.settings.peer_address.to_string();
+    let call = StoreCall::Remove {
+        key,
+        table: PEERS_TABLE,
+    };
+    if let Err(error) = app.store.call(&app.metrics, &call).await {
+        log::info!(event = "row-kept", error = error.to_string().as_str(); "");
+    }
+}
+
+/// Reads the other daemons' rows at the start and now and then.
+pub(crate) async fn read_rows(app: Rc<App>) {
+    let mut wait = SECOND_READ;
+    loop {
+        let mut failures = 0;
+        while !read_all(&app).await {
+            sleep(backoff(failures)).await;
+            failures += 1;
+        }
+        // A wake-up by `peers_changed` would be of no use here: it means that reports come.
+        sleep(wait.mul_f64(0.75 + fastrand::f64() * 0.5)).await;
+        wait = READ_INTERVAL;
+    }
+}
+
+async fn read_all(app: &Rc<App>) -> bool {
+    let mut from = String::new();
+    loop {
+        let call = StoreCall::Get {
+            from: from.clone(),
+            table: PEERS_TABLE,
+        };
+        let Ok(rows) = app.store.call(&app.metrics, &call).await else {
+            return false;
+        };
+        for row in &rows.rows {
+            match Report::decode(&row.value) {
+                Ok(report) => take_row(app, report),
+                Err(error) => {
+                    log::warn!(event = "row-invalid", key = row.key.as_str(), error = error.to_string().as_str(); "");
+                }
+            }
+        }
+        match rows.rows.last() {
+            // The next key after the last one, in the order of bytes.
+            Some(last) if rows.has_more => from = format!("{}%00", last.key),
+            _ => return true,
+        }
+    }
+}
+
+fn take_row(app: &Rc<App>, report: Report) {
+    let address = report.sender.address;
+    app.core.with(|node, cx| {
+        if address == app.settings.peer_address {
+            if let Some(target) = report.sender.target {
+                node.own.remember(target);
+            }
+            node.incarnation = node.incarnation.max(report.sender.incarnation + 1);
+        } else if node.directory.remember(report.sender) {
+            let record = node.next_record();
+            node.send_report(address, record, true);
+            let _ = cx;
+        }
+    });
+}
+
+/// Waits for `future`, but not for longer than `most`.
+pub(crate) async fn at_most(most: Duration, future: impl Future<Output = ()>) {
+    // What isn't done by then is given up, as the caller asks.
+    let _ = timeout(most, future).await;
+}
--- /dev/null
+++ b/crates/edge/src/probe.rs
@@ -0,0 +1,81 @@
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use medlarspool_adapter::headers;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    app::App, body_framing::BodyFraming, byte_stream::ByteStream, exchange::exchange,
+    header_list::HeaderList, outgoing::Outgoing,
+};
+
+/// How long a daemon that was started again waits for a heartbeat before it probes its target.
+const HEARTBEAT_FIRST: Duration = Duration::from_millis(200);
+
+/// The longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often the configuration, which names the path to probe, is looked for.
+const CONFIG_CHECK: Duration = Duration::from_millis(100);
+
+/// How often that is at most; after that a heartbeat must have come.
+const CONFIG_CHECKS: usize = 20;
+
+/// Finds the target of an earlier life of this daemon by one probe, unless it is heard before.
+pub(crate) async fn probe_target(app: Rc<App>) {
+    sleep(HEARTBEAT_FIRST).await;
+    for _ in 0..CONFIG_CHECKS {
+        let path = app.core.with(|node, _| {
+            let config = node.config.as_ref()?;
+            config.health_paths.get(&node.settings.service).cloned()
+        });
+        let heard = app.core.with(|node, _| node.own.usable().is_some());
+        match path {
+            _ if heard => return,
+            Some(path) => return probe(&app, &path).await,
+            None => sleep(CONFIG_CHECK).await,
+        }
+    }
+}
+
+async fn probe(app: &Rc<App>, path: &str) {
+    app.metrics.probes.inc();
+    let address = app.settings.target_address;
+    let Ok(stream) = ByteStream::connect(address, PROBE_TIMEOUT).await else {
+        return;
+    };
+    let mut sent = HeaderList::default();
+    sent.push(&b"Host"[..], address.to_string());
+    let request = Outgoing {
+        body: &Bytes::new(),
+        expected_id: None,
+        extra: &HeaderList::default(),
+        framing: BodyFraming::Length(0),
+        headers: &sent,
+        method: "GET",
+        rest: None,
+        target: path.as_bytes(),
+    };
+    let Ok(Ok((answer, back))) = timeout(PROBE_TIMEOUT, exchange(stream, request, None)).await
+    else {
+        return;
+    };
+    if let Some(back) = back {
+        app.target_pool.keep(address, back);
+    }
+    let id = answer.headers.text(headers::TARGET_ID);
+    let slots = answer
+        .headers
+        .text(headers::TARGET_LOAD)
+        .and_then(|load| load.split(',').nth(2)?.trim().parse().ok())
+        .filter(|slots| *slots > 0);
+    if let (200, Some(id), Some(slots)) = (answer.status, id, slots) {
+        app.core.with(|node, cx| {
+            let service = node.settings.service.clone();
+            if node.own.probed(&id.into(), &service, slots) {
+                log::info!(event = "target-probed", id = id; "");
+                node.target_changed(cx);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/reply.rs
@@ -0,0 +1,44 @@
+use bytes::Bytes;
+
+use crate::{answer_body::AnswerBody, header_list::HeaderList};
+
+/// An answer to be written to a server connection.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) body: ReplyBody,
+    /// Whether the connection ends after it.
+    pub(crate) close: bool,
+    pub(crate) headers: HeaderList,
+    pub(crate) status: u16,
+}
+
+/// The body of a reply.
+#[derive(Debug)]
+pub(crate) enum ReplyBody {
+    Full(Bytes),
+    Stream(Box<AnswerBody>),
+}
+
+impl Reply {
+    /// Makes a reply of our own without a body.
+    pub(crate) fn status(status: u16) -> Self {
+        Self {
+            body: ReplyBody::Full(Bytes::new()),
+            close: false,
+            headers: HeaderList::default(),
+            status,
+        }
+    }
+
+    pub(crate) fn with_body(status: u16, body: impl Into<Bytes>) -> Self {
+        Self {
+            body: ReplyBody::Full(body.into()),
+            ..Self::status(status)
+        }
+    }
+
+    pub(crate) fn with_header(mut self, name: &'static str, value: impl Into<Bytes>) -> Self {
+        self.headers.push(name.as_bytes(), value.into());
+        self
+    }
+}
--- /dev/null
+++ b/crates/edge/src/reports.rs
@@ -0,0 +1,27 @@
+use std::rc::Rc;
+
+use medlarspool_hop::Report;
+use tokio::net::UdpSocket;
+
+use crate::app::App;
+
+/// The longest report.
+const MAX_REPORT_BYTES: usize = 2_048;
+
+/// Takes other daemons' reports.
+pub(crate) async fn receive_reports(app: Rc<App>, socket: UdpSocket) {
+    let mut buffer = vec![0; MAX_REPORT_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match Report::decode(&buffer[..length]) {
+                Ok(report) => app.core.with(|node, cx| node.hear(cx, report)),
+                Err(error) => {
+                    log::warn!(event = "report-invalid", from = from.to_string().as_str(), error = error.to_string().as_str(); "");
+                }
+            },
+            Err(error) => {
+                log::debug!(event = "report-unread", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/run_site.rs
@@ -0,0 +1,239 @@
+use std::{
+    cell::Cell,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use medlarspool_mesh::{MessageLimits, SiteSettings};
+use tokio::{
+    net::UdpSocket,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::Notify,
+    task::{LocalSet, spawn_local},
+    time::sleep,
+};
+
+use crate::{
+    EdgeError,
+    administration::serve_operator,
+    app::App,
+    config_sync::{follow_peers, follow_store},
+    connection_pool::ConnectionPool,
+    control::serve_target,
+    core::Core,
+    entry::serve_client,
+    gate_server::serve_peer,
+    hop::INTERIM_AFTER,
+    line_log::LineLog,
+    listen::{accept, listen},
+    metrics::Metrics,
+    node::Node,
+    peer_sync::{at_most, keep_row, read_rows, remove_row},
+    probe::probe_target,
+    readiness::serve_readiness,
+    reports::receive_reports,
+    run_table::RunTable,
+    server_connection::Handler,
+    store_client::StoreClient,
+};
+
+/// How long a connection between daemons is kept without a request.
+const PEER_IDLE: Duration = Duration::from_secs(30);
+
+/// The most idle connections kept to one daemon: as many requests as an entry has under way there.
+const PEER_KEPT: usize = 16;
+
+/// How long a connection to the target is kept without a request: below any usual idle timeout.
+const TARGET_IDLE: Duration = Duration::from_secs(4);
+
+/// The most idle connections kept to the target.
+const TARGET_KEPT: usize = 64;
+
+/// How long a planned stop goes on taking requests: the platform asks once a second whether this
+/// daemon is ready, and stops sending clients after two misses.
+const STOP_LINGER: Duration = Duration::from_millis(2_300);
+
+/// How much of the time for a planned stop is left over for the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// How often a planned stop looks whether all is done.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// The longest wait for the removal of the daemon's row at the end.
+const LAST_WRITE: Duration = Duration::from_millis(200);
+
+/// Checks the platform's settings file.
+///
+/// # Errors
+///
+/// Returns what is wrong with it.
+pub fn check_site_settings(path: &Path) -> Result<(), EdgeError> {
+    load(path).map(|_| ())
+}
+
+/// Serves on the users' platform until a planned stop is through.
+///
+/// # Errors
+///
+/// Returns why the daemon can't start.
+pub fn run_site(path: &Path) -> Result<(), EdgeError> {
+    LineLog::install(log::LevelFilter::Info);
+    let settings = load(path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(EdgeError::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(settings, path.to_owned()))
+}
+
+fn load(path: &Path) -> Result<SiteSettings, EdgeError> {
+    let bytes = std::fs::read(path).map_err(|error| EdgeError::ReadSettings {
+        path: path.into(),
+        error,
+    })?;
+    medlarspool_adapter::site_settings(&bytes).map_err(|error| EdgeError::Settings {
+        path: path.into(),
+        error,
+    })
+}
+
+async fn serve(settings: SiteSettings, path: PathBuf) -> Result<(), EdgeError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(EdgeError::Signal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(EdgeError::Signal)?;
+    let hang_up = signal(SignalKind::hangup()).map_err(EdgeError::Signal)?;
+    let app = app(&settings)?;
+    log::info!(event = "start", instance = &*settings.instance, service = &*settings.service; "");
+    let reports = receiver(&app)?;
+    app.core.start(app.clone());
+    start_servers(&app)?;
+    spawn_local(receive_reports(app.clone(), reports));
+    spawn_local(follow_store(app.clone()));
+    spawn_local(follow_peers(app.clone()));
+    spawn_local(keep_row(app.clone()));
+    spawn_local(read_rows(app.clone()));
+    spawn_local(probe_target(app.clone()));
+    spawn_local(watch_settings(path, hang_up));
+    let pump_app = app.clone();
+    spawn_local(async move { pump_app.core.pump().await });
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    stop(&app).await;
+    Ok(())
+}
+
+fn app(settings: &SiteSettings) -> Result<Rc<App>, EdgeError> {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let incarnation = u64::try_from(since_epoch.as_millis()).unwrap_or_default();
+    let node = Node::new(settings.clone(), incarnation, Instant::now());
+    let address = settings.peer_address;
+    let reports = std::net::UdpSocket::bind(address)
+        .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
+        .map_err(|error| EdgeError::Listen { address, error })?;
+    // Two metrics of the same name would be a fault of this program that every start shows.
+    let metrics = Metrics::new().expect("the names of metrics differ");
+    Ok(Rc::new(App {
+        config_behind: Notify::new(),
+        core: Core::new(node),
+        in_flight: Cell::new(0),
+        limits: Cell::new(MessageLimits::default()),
+        metrics,
+        peer_pool: ConnectionPool::new(PEER_IDLE, PEER_KEPT),
+        peers_changed: Notify::new(),
+        reports,
+        row_changed: Notify::new(),
+        runs: RunTable::default(),
+        settings: settings.clone(),
+        stopping: Cell::new(false),
+        store: StoreClient::new(settings.store_address),
+        target_pool: ConnectionPool::new(TARGET_IDLE, TARGET_KEPT),
+    }))
+}
+
+/// Returns the receiving end of the socket for reports.
+fn receiver(app: &Rc<App>) -> Result<UdpSocket, EdgeError> {
+    app.reports
+        .try_clone()
+        .and_then(UdpSocket::from_std)
+        .map_err(|error| EdgeError::Listen {
+            address: app.settings.peer_address,
+            error,
+        })
+}
+
+fn start_servers(app: &Rc<App>) -> Result<(), EdgeError> {
+    macro_rules! handler {
+        ($serve:path) => {{
+            let app = app.clone();
+            Rc::new(move |incoming| {
+                let answered: std::pin::Pin<Box<dyn Future<Output = crate::reply::Reply>>> =
+                    Box::pin($serve(app.clone(), incoming));
+                answered
+            }) as Handler
+        }};
+    }
+    let settings = &app.settings;
+    let servers: [(_, Handler, _); 5] = [
+        (settings.readiness_address, handler!(serve_readiness), None),
+        (settings.control_address, handler!(serve_target), None),
+        (
+            settings.peer_address,
+            handler!(serve_peer),
+            Some(INTERIM_AFTER),
+        ),
+        (
+            settings.administration_address,
+            handler!(serve_operator),
+            None,
+        ),
+        (settings.outbound_address, handler!(serve_client), None),
+    ];
+    for (address, handler, interim_after) in servers {
+        let listener = listen(address)?;
+        spawn_local(accept(app.clone(), listener, handler, interim_after));
+    }
+    Ok(())
+}
+
+/// Checks the settings file whenever it may have changed. What a running daemon can't take over,
+/// such as an address, holds from its next start.
+async fn watch_settings(path: PathBuf, mut hang_up: Signal) {
+    while hang_up.recv().await.is_some() {
+        match load(&path) {
+            Ok(settings) => {
+                log::info!(event = "settings-read", service = &*settings.service; "");
+            }
+            Err(error) => {
+                log::error!(event = "settings-invalid", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+}
+
+/// Ends the daemon without cutting off a request.
+async fn stop(app: &Rc<App>) {
+    let begun = Instant::now();
+    log::info!(event = "stop", in_flight = app.in_flight.get(); "");
+    app.stopping.set(true);
+    let leaves = app.core.with(|node, cx| {
+        node.serving = false;
+        node.tell_soon(cx);
+        node.own.usable().is_none()
+    });
+    let most = app.settings.grace.saturating_sub(STOP_MARGIN);
+    loop {
+        sleep(STOP_CHECK).await;
+        let lingered = begun.elapsed() >= STOP_LINGER;
+        if begun.elapsed() >= most || (lingered && app.in_flight.get() == 0) {
+            break;
+        }
+    }
+    if leaves {
+        at_most(LAST_WRITE, remove_row(app)).await;
+    }
+    log::info!(event = "stopped", in_flight = app.in_flight.get(); "");
+}
--- /dev/null
+++ b/crates/edge/src/run_table.rs
@@ -0,0 +1,104 @@
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use crate::gate_reply::GateReply;
+
+/// How long the end of a run is kept for an entry that lost its hop: longer than any deadline left.
+const KEPT: Duration = Duration::from_secs(6);
+
+/// The most runs kept.
+const MAX_KEPT: usize = 4_096;
+
+/// The requests at this gate that run at most once, for entries that lost the hop and ask.
+#[derive(Default)]
+pub(crate) struct RunTable {
+    runs: RefCell<HashMap<Bytes, Run>>,
+}
+
+enum Run {
+    Ended {
+        at: Instant,
+        reply: Option<GateReply>,
+    },
+    Running(Vec<oneshot::Sender<GateReply>>),
+}
+
+/// What an entry that asks is told.
+pub(crate) enum Attached {
+    Ended(GateReply),
+    NeverSeen,
+    Running(oneshot::Receiver<GateReply>),
+    Taken,
+}
+
+impl RunTable {
+    /// Takes in a request; returns `false` if it came before or was fenced.
+    pub(crate) fn begin(&self, id: &Bytes) -> bool {
+        let mut runs = self.runs.borrow_mut();
+        if runs.contains_key(id) {
+            return false;
+        }
+        if runs.len() >= MAX_KEPT {
+            sweep(&mut runs, Instant::now());
+        }
+        runs.insert(id.clone(), Run::Running(Vec::new()));
+        true
+    }
+
+    /// Waits for the end of a run.
+    pub(crate) fn wait(&self, id: &Bytes) -> Option<oneshot::Receiver<GateReply>> {
+        let mut runs = self.runs.borrow_mut();
+        let Some(Run::Running(waiting)) = runs.get_mut(id) else {
+            return None;
+        };
+        let (sender, receiver) = oneshot::channel();
+        waiting.push(sender);
+        Some(receiver)
+    }
+
+    /// Takes in the end of a run; it goes to who waits last, or is kept.
+    pub(crate) fn end(&self, id: &Bytes, reply: GateReply) {
+        let mut reply = Some(reply);
+        let mut runs = self.runs.borrow_mut();
+        if let Some(Run::Running(waiting)) = runs.remove(id) {
+            for sender in waiting.into_iter().rev() {
+                let Some(ready) = reply.take() else { break };
+                reply = sender.send(ready).err();
+            }
+        }
+        let at = Instant::now();
+        runs.insert(id.clone(), Run::Ended { at, reply });
+    }
+
+    /// Answers an entry that lost its hop. A request that was never seen can't run any more then.
+    pub(crate) fn attach(&self, id: &Bytes) -> Attached {
+        if let Some(receiver) = self.wait(id) {
+            return Attached::Running(receiver);
+        }
+        let mut runs = self.runs.borrow_mut();
+        if let Some(Run::Ended { reply, .. }) = runs.get_mut(id) {
+            return reply.take().map_or(Attached::Taken, Attached::Ended);
+        }
+        let at = Instant::now();
+        runs.insert(id.clone(), Run::Ended { at, reply: None });
+        Attached::NeverSeen
+    }
+
+    /// Forgets what ended long ago.
+    pub(crate) fn sweep(&self, now: Instant) {
+        sweep(&mut self.runs.borrow_mut(), now);
+    }
+}
+
+fn sweep(runs: &mut HashMap<Bytes, Run>, now: Instant) {
+    runs.retain(|_, run| match run {
+        Run::Ended { at, .. } => now.saturating_duration_since(*at) < KEPT,
+        Run::Running(_) => true,
+    });
+}
--- /dev/null
+++ b/crates/edge/src/server_connection.rs
@@ -0,0 +1,387 @@
+use std::{future::Future, pin::Pin, rc::Rc, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream::FuturesOrdered};
+use tokio::{
+    sync::mpsc,
+    time::{sleep_until, timeout},
+};
+
+use crate::{
+    body_decoder::{BodyDecoder, Decoded},
+    body_framing::BodyFraming,
+    body_source::BodySource,
+    byte_stream::ByteStream,
+    http_fault::HttpFault,
+    incoming::Incoming,
+    message_head::RequestHead,
+    reply::{Reply, ReplyBody},
+    reply_head::reply_head,
+    server_options::ServerOptions,
+};
+
+/// The longest body that is read before the request is handled, so that it can be sent again.
+pub(crate) const MAX_BUFFERED_BYTES: usize = 64 << 10;
+
+/// The most requests of a connection that are handled at once.
+const MAX_PIPELINED: usize = 32;
+
+/// How many pieces of a long body are read ahead.
+const PIECES_AHEAD: usize = 4;
+
+/// How long bytes that come after a closing answer are read, so that the answer isn't reset.
+const LINGER: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// A reply that comes, and whether the client keeps the connection.
+type Pending = Pin<Box<dyn Future<Output = (Reply, bool)>>>;
+
+/// Answers a request.
+pub(crate) type Handler = Rc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Reply>>>>;
+
+/// One connection of a client: requests are handled at once and answered in their order.
+///
+/// If the client leaves, the requests that are not answered are dropped, and with them all that they
+/// hold.
+pub(crate) struct ServerConnection {
+    handler: Handler,
+    last_use: Instant,
+    options: Box<dyn Fn() -> ServerOptions>,
+    pending: FuturesOrdered<Pending>,
+    reading: Reading,
+    stream: ByteStream,
+}
+
+/// What is read next.
+enum Reading {
+    Body {
+        body: BytesMut,
+        decoder: BodyDecoder,
+        framing: BodyFraming,
+        head: RequestHead,
+    },
+    Head {
+        since: Option<Instant>,
+    },
+    Long {
+        decoder: BodyDecoder,
+        left: u64,
+        pieces: mpsc::Sender<Result<Bytes, HttpFault>>,
+    },
+    Nothing,
+}
+
+impl ServerConnection {
+    pub(crate) fn new(
+        stream: ByteStream,
+        handler: Handler,
+        options: Box<dyn Fn() -> ServerOptions>,
+    ) -> Self {
+        Self {
+            handler,
+            last_use: Instant::now(),
+            options,
+            pending: FuturesOrdered::new(),
+            reading: Reading::Head { since: None },
+            stream,
+        }
+    }
+
+    /// Serves until the client leaves or an answer ends the connection.
+    pub(crate) async fn serve(mut self, stopping: impl Fn() -> bool) {
+        loop {
+            self.take_requests();
+            if self.pending.is_empty() && matches!(self.reading, Reading::Nothing) {
+                return;
+            }
+            let reads =
+                !matches!(self.reading, Reading::Nothing) && self.pending.len() < MAX_PIPELINED;
+            let deadline = self.read_deadline();
+            let interim = (self.options)().interim_after;
+            tokio::select! {
+                biased;
+                Some((reply, keep)) = self.pending.next(), if !self.pending.is_empty() => {
+                    let close = reply.close || !keep || stopping();
+                    if self.write(reply, close).await.is_err() {
+                        return;
+                    }
+                    if close {
+                        return self.linger().await;
+                    }
+                    self.last_use = Instant::now();
+                }
+                () = wait_for_room(&self.reading), if is_full(&self.reading) => {}
+                read = self.stream.fill(), if reads && !is_full(&self.reading) => match read {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => {}
+                },
+                () = sleep_until(deadline.into()) => {
+                    if !self.time_out() {
+                        return;
+                    }
+                }
+                () = sleep_for(interim), if interim.is_some() && !self.pending.is_empty() => {
+                    if self.stream.write(INTERIM).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Handles what lies whole in the buffer.
+    fn take_requests(&mut self) {
+        while self.pending.len() < MAX_PIPELINED {
+            match self.take_step() {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(fault) => {
+                    self.reading = Reading::Nothing;
+                    self.refuse(fault);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes one step through the buffer; returns whether there may be another.
+    fn take_step(&mut self) -> Result<bool, HttpFault> {
+        let limits = (self.options)().limits;
+        match std::mem::replace(&mut self.reading, Reading::Nothing) {
+            Reading::Head { since } => {
+                let begun = if self.stream.buffer.is_empty() {
+                    None
+                } else {
+                    since.or_else(|| Some(Instant::now()))
+                };
+                self.reading = Reading::Head { since: begun };
+                skip_empty_lines(&mut self.stream.buffer);
+                if self.stream.buffer.is_empty() {
+                    return Ok(false);
+                }
+                let Some(head) =
+                    RequestHead::take(&mut self.stream.buffer, limits.max_header_bytes)?
+                else {
+                    return Ok(false);
+                };
+                let framing = BodyFraming::of_request(&head.headers, head.is_http_11)?;
+                if matches!(framing, BodyFraming::Length(length) if length > limits.max_body_bytes)
+                {
+                    return Err(HttpFault::BodyTooLong);
+                }
+                self.reading = Reading::Body {
+                    body: BytesMut::new(),
+                    decoder: BodyDecoder::new(framing),
+                    framing,
+                    head,
+                };
+                Ok(true)
+            }
+            Reading::Body {
+                mut body,
+                mut decoder,
+                framing,
+                head,
+            } => loop {
+                match decoder.decode(&mut self.stream.buffer)? {
+                    Decoded::Data(data) => body.extend_from_slice(&data),
+                    Decoded::End => {
+                        self.handle(head, framing, body.freeze(), None);
+                        return Ok(true);
+                    }
+                    Decoded::NeedMore => {
+                        self.reading = Reading::Body {
+                            body,
+                            decoder,
+                            framing,
+                            head,
+                        };
+                        return Ok(false);
+                    }
+                }
+                if body.len() > MAX_BUFFERED_BYTES && !decoder.is_ended() {
+                    let (pieces, receiver) = mpsc::channel(PIECES_AHEAD);
+                    let left = limits.max_body_bytes.saturating_sub(body.len() as u64);
+                    let rest = BodySource { pieces: receiver };
+                    self.handle(head, framing, body.freeze(), Some(rest));
+                    self.reading = Reading::Long {
+                        decoder,
+                        left,
+                        pieces,
+                    };
+                    return Ok(true);
+                }
+            },
+            Reading::Long {
+                mut decoder,
+                mut left,
+                pieces,
+            } => {
+                while pieces.capacity() > 0 {
+                    match decoder.decode(&mut self.stream.buffer)? {
+                        Decoded::Data(data) => {
+                            let Some(rest) = left.checked_sub(data.len() as u64) else {
+                                // The receiver learns of it; the connection ends with its answer.
+                                let _ = pieces.try_send(Err(HttpFault::BodyTooLong));
+                                return Ok(false);
+                            };
+                            left = rest;
+                            if pieces.try_send(Ok(data)).is_err() {
+                                // Answered before the whole body came: nothing else is read here.
+                                return Ok(false);
+                            }
+                        }
+                        Decoded::End => {
+                            self.reading = Reading::Head { since: None };
+                            return Ok(true);
+                        }
+                        Decoded::NeedMore => break,
+                    }
+                }
+                self.reading = Reading::Long {
+                    decoder,
+                    left,
+                    pieces,
+                };
+                Ok(false)
+            }
+            Reading::Nothing => Ok(false),
+        }
+    }
+
+    fn handle(
+        &mut self,
+        head: RequestHead,
+        framing: BodyFraming,
+        body: Bytes,
+        rest: Option<BodySource>,
+    ) {
+        let keep = head.keeps_alive();
+        let incoming = Incoming {
+            arrived: Instant::now(),
+            body,
+            framing,
+            head,
+            rest,
+        };
+        let reply = (self.handler)(incoming);
+        self.pending
+            .push_back(Box::pin(async move { (reply.await, keep) }));
+        self.reading = if keep {
+            Reading::Head { since: None }
+        } else {
+            Reading::Nothing
+        };
+    }
+
+    fn refuse(&mut self, fault: HttpFault) {
+        let mut reply = Reply::status(fault.status());
+        reply.close = true;
+        self.pending
+            .push_back(Box::pin(std::future::ready((reply, false))));
+    }
+
+    fn read_deadline(&self) -> Instant {
+        let limits = (self.options)().limits;
+        match &self.reading {
+            Reading::Head { since: Some(since) } => *since + limits.header_timeout,
+            Reading::Head { since: None } if self.pending.is_empty() => {
+                self.last_use + limits.idle_timeout
+            }
+            _ => Instant::now() + limits.idle_timeout,
+        }
+    }
+
+    /// Ends an idle connection, or answers a request that came too slowly.
+    fn time_out(&mut self) -> bool {
+        match std::mem::replace(&mut self.reading, Reading::Nothing) {
+            Reading::Head { since: None } | Reading::Nothing => false,
+            Reading::Body { .. } | Reading::Head { since: Some(_) } => {
+                self.refuse(HttpFault::TooSlow);
+                true
+            }
+            Reading::Long { pieces, .. } => pieces.try_send(Err(HttpFault::TooSlow)).is_ok(),
+        }
+    }
+
+    async fn write(&mut self, reply: Reply, close: bool) -> std::io::Result<()> {
+        let mut out = BytesMut::with_capacity(512);
+        match reply.body {
+            ReplyBody::Full(body) => {
+                let framing = BodyFraming::Length(body.len() as u64);
+                reply_head(&mut out, reply.status, &reply.headers, framing, close);
+                out.extend_from_slice(&body);
+                self.stream.write(&out).await
+            }
+            ReplyBody::Stream(mut body) => {
+                let framing = body
+                    .length
+                    .map_or(BodyFraming::Chunked, BodyFraming::Length);
+                reply_head(&mut out, reply.status, &reply.headers, framing, close);
+                loop {
+                    let piece = tokio::select! {
+                        piece = body.next() => piece?,
+                        read = self.stream.fill() => match read {
+                            Ok(1..) => continue,
+                            _ => return Err(std::io::ErrorKind::BrokenPipe.into()),
+                        },
+                    };
+                    let ended = piece.is_none();
+                    let piece = piece.unwrap_or_default();
+                    if framing == BodyFraming::Chunked {
+                        if !piece.is_empty() || ended {
+                            out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+                            out.extend_from_slice(&piece);
+                            out.extend_from_slice(b"\r\n");
+                        }
+                    } else {
+                        out.extend_from_slice(&piece);
+                    }
+                    self.stream.write(&out).await?;
+                    out.clear();
+                    if ended {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads on for a moment after a closing answer: a close with unread bytes would reset it.
+    async fn linger(mut self) {
+        self.stream.shutdown().await;
+        let drained = async {
+            while matches!(self.stream.fill().await, Ok(1..)) {
+                self.stream.buffer.clear();
+            }
+        };
+        // A client that keeps sending has had its answer and a moment to read it.
+        let _ = timeout(LINGER, drained).await;
+    }
+}
+
+/// Tells a daemon that its request has come and is being worked on.
+const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+
+async fn sleep_for(duration: Option<std::time::Duration>) {
+    match duration {
+        Some(duration) => tokio::time::sleep(duration).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn is_full(reading: &Reading) -> bool {
+    matches!(reading, Reading::Long { pieces, .. } if pieces.capacity() == 0)
+}
+
+async fn wait_for_room(reading: &Reading) {
+    if let Reading::Long { pieces, .. } = reading {
+        // An error means that nobody reads the body any more, which the next step notices.
+        let _ = pieces.reserve().await;
+    }
+}
+
+fn skip_empty_lines(buffer: &mut BytesMut) {
+    while buffer.starts_with(b"\r\n") {
+        let _ = buffer.split_to(2);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/slot_guard.rs
@@ -0,0 +1,35 @@
+use std::{rc::Rc, time::Duration};
+
+use crate::app::App;
+
+/// A slot of the target; given back when it is dropped.
+pub(crate) struct SlotGuard {
+    app: Option<Rc<App>>,
+    expected_run: Duration,
+    run: u64,
+}
+
+impl SlotGuard {
+    pub(crate) const fn new(app: Rc<App>, run: u64, expected_run: Duration) -> Self {
+        Self {
+            app: Some(app),
+            expected_run,
+            run,
+        }
+    }
+
+    /// Leaves it to the caller to give the slot back.
+    pub(crate) fn disarm(mut self) -> (u64, Duration) {
+        self.app = None;
+        (self.run, self.expected_run)
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        if let Some(app) = &self.app {
+            app.core
+                .with(|node, _| node.end_run(self.run, self.expected_run));
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store_client.rs
@@ -0,0 +1,135 @@
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use medlarspool_adapter::{StoreCall, StoreRows};
+use tokio::time::timeout;
+
+use crate::{
+    body_framing::BodyFraming, byte_stream::ByteStream, connection_pool::ConnectionPool,
+    exchange::exchange, header_list::HeaderList, metrics::Metrics, outgoing::Outgoing,
+    store_error::StoreError,
+};
+
+/// How long a call that waits for nothing may take. The store answers within some milliseconds, and
+/// on its slow days a hundred times later.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The longest wait for a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a connection to the store is kept without a call.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// The only client of the platform's store.
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    reachable: RefCell<bool>,
+    pool: ConnectionPool,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            reachable: RefCell::new(true),
+            pool: ConnectionPool::new(MAX_IDLE, 2),
+        }
+    }
+
+    /// Makes a call. A write without an answer may have been done, or may be done later.
+    pub(crate) async fn call(
+        &self,
+        metrics: &Metrics,
+        call: &StoreCall,
+    ) -> Result<StoreRows, StoreError> {
+        let most = match call {
+            StoreCall::Feed { wait, .. } => *wait + CALL_TIMEOUT,
+            StoreCall::Get { .. } | StoreCall::Remove { .. } | StoreCall::Write(_) => CALL_TIMEOUT,
+        };
+        let result = match timeout(most, self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::NoAnswer),
+        };
+        metrics
+            .store_calls
+            .with_label_values(&[outcome(&result)])
+            .inc();
+        self.note(&result);
+        result
+    }
+
+    async fn exchange(&self, call: &StoreCall) -> Result<StoreRows, StoreError> {
+        let stream = match self.pool.take(self.address) {
+            Some(stream) => stream,
+            None => ByteStream::connect(self.address, CONNECT_TIMEOUT)
+                .await
+                .map_err(|_| StoreError::NoAnswer)?,
+        };
+        let (method, target) = call.start();
+        let body = Bytes::from(call.body());
+        let mut headers = HeaderList::default();
+        headers.push(&b"Host"[..], self.address.to_string());
+        if !body.is_empty() {
+            headers.push(&b"Content-Type"[..], &b"application/json"[..]);
+        }
+        let request = Outgoing {
+            body: &body,
+            expected_id: None,
+            extra: &HeaderList::default(),
+            framing: BodyFraming::Length(body.len() as u64),
+            headers: &headers,
+            method,
+            rest: None,
+            target: target.as_bytes(),
+        };
+        let (mut answer, back) = exchange(stream, request, None)
+            .await
+            .map_err(|_| StoreError::NoAnswer)?;
+        if let Some(back) = back {
+            self.pool.keep(self.address, back);
+        }
+        let mut whole = answer.whole.to_vec();
+        if let Some(rest) = &mut answer.rest {
+            while let Some(piece) = rest.next().await.map_err(|_| StoreError::NoAnswer)? {
+                whole.extend_from_slice(&piece);
+            }
+        }
+        match answer.status {
+            200 => StoreRows::decode(&whole).map_err(StoreError::Answer),
+            410 => Err(StoreError::HistoryDropped),
+            other => Err(StoreError::Status(other)),
+        }
+    }
+
+    /// Logs when the store is lost and when it is back.
+    fn note(&self, result: &Result<StoreRows, StoreError>) {
+        let reachable = matches!(result, Ok(_) | Err(StoreError::HistoryDropped));
+        if self.reachable.replace(reachable) != reachable {
+            match result {
+                Err(error) => {
+                    log::warn!(event = "store-lost", error = error.to_string().as_str(); "");
+                }
+                Ok(_) => log::info!(event = "store-back"; ""),
+            }
+        }
+    }
+}
+
+/// Draws the wait before a call to the store is made again: longer after each failure, and spread,
+/// so that the daemons of a fleet don't come back together.
+pub(crate) fn backoff(failures: u32) -> Duration {
+    const FIRST: Duration = Duration::from_millis(120);
+    const LONGEST: Duration = Duration::from_secs(1);
+    let most = FIRST.saturating_mul(1 << failures.min(4)).min(LONGEST);
+    most.mul_f64(0.5 + fastrand::f64() * 0.5)
+}
+
+fn outcome(result: &Result<StoreRows, StoreError>) -> &'static str {
+    match result {
+        Err(StoreError::Answer(_)) => "invalid",
+        Err(StoreError::HistoryDropped) => "history_dropped",
+        Err(StoreError::NoAnswer) => "no_answer",
+        Err(StoreError::Status(_)) => "refused",
+        Ok(_) => "ok",
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store_error.rs
@@ -0,0 +1,15 @@
+use displaydoc::Display;
+use medlarspool_adapter::AdapterError;
+
+/// Why a call to the store has no result.
+#[derive(Debug, Display)]
+pub(crate) enum StoreError {
+    /// the store's answer can't be read: {0}
+    Answer(AdapterError),
+    /// the store has dropped the history asked for
+    HistoryDropped,
+    /// no answer of the store
+    NoAnswer,
+    /// the store answered {0}
+    Status(u16),
+}
--- /dev/null
+++ b/crates/edge/src/target_run.rs
@@ -0,0 +1,107 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use medlarspool_adapter::headers;
+use medlarspool_hop::RefusalReason;
+use tokio::time::timeout_at;
+
+use crate::{
+    app::App, byte_stream::ByteStream, exchange::exchange, exchange_error::ExchangeError,
+    gate_call::GateCall, header_list::HeaderList, outgoing::Outgoing, run_end::RunEnd,
+};
+
+/// The longest wait for a connection to the target on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long after the deadline the target's own answer is still taken.
+const ANSWER_GRACE: Duration = Duration::from_millis(60);
+
+/// Sends a request to the target and says whether it ran.
+pub(crate) async fn run_at_target(app: &Rc<App>, call: &GateCall) -> RunEnd {
+    let address = app.settings.target_address;
+    let stream = match app.target_pool.take(address) {
+        Some(stream) => stream,
+        None => match connect(app, call).await {
+            Ok(stream) => stream,
+            Err(reason) => return RunEnd::NotRun(reason),
+        },
+    };
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let mut extra = HeaderList::default();
+    extra.push(
+        headers::EXPECTED_TARGET.as_bytes(),
+        call.target.as_bytes().to_vec(),
+    );
+    extra.push(
+        headers::DEADLINE_MS.as_bytes(),
+        left.as_millis().to_string(),
+    );
+    let forwarded = &call.forwarded;
+    let mut rest = forwarded.rest.borrow_mut().take();
+    let request = Outgoing {
+        body: &forwarded.body,
+        expected_id: forwarded.id.as_deref(),
+        extra: &extra,
+        framing: forwarded.framing,
+        headers: &forwarded.headers,
+        method: &forwarded.method,
+        rest: rest.as_mut(),
+        target: &forwarded.target,
+    };
+    let ended = timeout_at(
+        (call.deadline + ANSWER_GRACE).into(),
+        exchange(stream, request, None),
+    );
+    match ended.await {
+        Err(_) => RunEnd::Lost(RefusalReason::Deadline),
+        Ok(Ok((answer, back))) => {
+            if let Some(back) = back {
+                app.target_pool.keep(address, back);
+            }
+            let not_run = answer.headers.get(headers::NOT_RUN).is_some() || answer.status == 421;
+            if not_run {
+                RunEnd::NotRun(RefusalReason::TargetRefused)
+            } else {
+                RunEnd::Answered(answer)
+            }
+        }
+        Ok(Err(error)) => {
+            log::info!(event = "run-lost", id = forwarded.id_text(), error = error.to_string().as_str(); "");
+            if error == ExchangeError::Lost {
+                note_if_crashed(app, forwarded.fingerprint).await;
+            }
+            RunEnd::Lost(RefusalReason::TargetFailed)
+        }
+    }
+}
+
+async fn connect(app: &Rc<App>, call: &GateCall) -> Result<ByteStream, RefusalReason> {
+    app.metrics.target_connections.inc();
+    let connected = ByteStream::connect(app.settings.target_address, CONNECT_TIMEOUT);
+    match timeout_at(call.deadline.into(), connected).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) => {
+            log::info!(event = "target-unreachable", error = error.to_string().as_str(); "");
+            app.core.with(|node, cx| {
+                if error.kind() == std::io::ErrorKind::ConnectionRefused && node.own.mark_down() {
+                    node.target_changed(cx);
+                }
+            });
+            Err(RefusalReason::Moved)
+        }
+        Err(_) => Err(RefusalReason::Deadline),
+    }
+}
+
+/// Tells a crash from a lost connection: nothing listens at the address of a target that crashed.
+async fn note_if_crashed(app: &Rc<App>, fingerprint: u64) {
+    let address = app.settings.target_address;
+    if let Ok(stream) = ByteStream::connect(address, CONNECT_TIMEOUT).await {
+        app.target_pool.keep(address, stream);
+        return;
+    }
+    app.target_pool.clear(address);
+    app.core.with(|node, cx| node.note_crash(cx, fingerprint));
+}
--- /dev/null
+++ b/crates/edge/src/ticket_guard.rs
@@ -0,0 +1,15 @@
+use std::rc::Rc;
+
+use crate::app::App;
+
+/// A place in the gate's queue; given up when it is dropped.
+pub(crate) struct TicketGuard {
+    pub(crate) app: Rc<App>,
+    pub(crate) ticket: u64,
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        self.app.core.with(|node, _| node.cancel_wait(self.ticket));
+    }
+}
--- /dev/null
+++ b/crates/hop/src/report.rs
@@ -0,0 +1,142 @@
+use std::net::SocketAddr;
+
+use medlarspool_mesh::{AnnouncedState, PeerRecord, TargetLoad, TargetRecord};
+use prost::Message;
+
+use crate::{
+    ReportError,
+    report_message::{ReportMessage, TargetMessage},
+};
+
+/// What one daemon tells another a few times a second, and at once when something changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Whether the sender asks for a report in return, since it has just started.
+    pub answer: bool,
+    /// The version of the sender's configuration; 0 if it has none.
+    pub config_version: u64,
+    /// Fingerprints of requests that were running at crashes, and the crashes' ids.
+    pub crashes: Vec<(u64, u64)>,
+    /// The number of the last report that the sender heard from the receiver.
+    pub heard_report: u64,
+    /// Addresses of some daemons that the sender knows.
+    pub known: Vec<SocketAddr>,
+    /// The sender.
+    pub sender: PeerRecord,
+    /// What the sender knows of the receiver's target, for a receiver that has just started.
+    pub your_target: Option<TargetRecord>,
+}
+
+impl Report {
+    /// Encodes the report.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let load = self.sender.load;
+        ReportMessage {
+            address: self.sender.address.to_string(),
+            answer: self.answer,
+            availability_zone: self.sender.availability_zone.to_string(),
+            config_version: self.config_version,
+            crashes: self
+                .crashes
+                .iter()
+                .flat_map(|(fingerprint, id)| [*fingerprint, *id])
+                .collect(),
+            heard_report: self.heard_report,
+            incarnation: self.sender.incarnation,
+            known: self.known.iter().map(ToString::to_string).collect(),
+            load: vec![
+                load.running,
+                load.waiting,
+                load.wait_us,
+                load.failing_of_256,
+            ],
+            report: self.sender.report,
+            serving: self.sender.serving,
+            target: self.sender.target.as_ref().map(encode_target),
+            your_target: self.your_target.as_ref().map(encode_target),
+        }
+        .encode_to_vec()
+    }
+
+    /// Decodes a report.
+    ///
+    /// # Errors
+    ///
+    /// Returns what can't be read.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ReportError> {
+        let message = ReportMessage::decode(bytes)
+            .map_err(|error| ReportError::Encoding(error.to_string()))?;
+        let load = |index: usize| message.load.get(index).copied().unwrap_or_default();
+        Ok(Self {
+            answer: message.answer,
+            config_version: message.config_version,
+            crashes: message
+                .crashes
+                .chunks_exact(2)
+                .map(|pair| (pair[0], pair[1]))
+                .collect(),
+            heard_report: message.heard_report,
+            known: message
+                .known
+                .iter()
+                .map(|text| address(text))
+                .collect::<Result<_, _>>()?,
+            sender: PeerRecord {
+                address: address(&message.address)?,
+                availability_zone: message.availability_zone.as_str().into(),
+                incarnation: message.incarnation,
+                load: TargetLoad {
+                    failing_of_256: load(3),
+                    running: load(0),
+                    wait_us: load(2),
+                    waiting: load(1),
+                },
+                report: message.report,
+                serving: message.serving,
+                target: message.target.as_ref().map(decode_target).transpose()?,
+            },
+            your_target: message
+                .your_target
+                .as_ref()
+                .map(decode_target)
+                .transpose()?,
+        })
+    }
+}
+
+fn address(text: &str) -> Result<SocketAddr, ReportError> {
+    text.parse()
+        .map_err(|_| ReportError::Address(text.to_owned()))
+}
+
+fn encode_target(target: &TargetRecord) -> TargetMessage {
+    TargetMessage {
+        born_ms: target.born_ms,
+        id: target.id.to_string(),
+        sequence: target.sequence,
+        service: target.service.to_string(),
+        slots: target.slots,
+        state: match target.state {
+            AnnouncedState::Draining => 1,
+            AnnouncedState::Gone => 2,
+            AnnouncedState::Ready => 0,
+        },
+    }
+}
+
+fn decode_target(message: &TargetMessage) -> Result<TargetRecord, ReportError> {
+    Ok(TargetRecord {
+        born_ms: message.born_ms,
+        id: message.id.as_str().into(),
+        sequence: message.sequence,
+        service: message.service.as_str().into(),
+        slots: message.slots,
+        state: match message.state {
+            0 => AnnouncedState::Ready,
+            1 => AnnouncedState::Draining,
+            2 => AnnouncedState::Gone,
+            other => return Err(ReportError::State(other)),
+        },
+    })
+}
--- /dev/null
+++ b/crates/hop/src/report_message.rs
@@ -0,0 +1,49 @@
+//! The report datagram's encoding: derived here, so that no generator is needed.
+
+use prost::Message;
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ReportMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) address: String,
+    #[prost(string, tag = "2")]
+    pub(crate) availability_zone: String,
+    #[prost(uint64, tag = "3")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) report: u64,
+    #[prost(bool, tag = "5")]
+    pub(crate) serving: bool,
+    #[prost(uint32, repeated, tag = "6")]
+    pub(crate) load: Vec<u32>,
+    #[prost(message, optional, tag = "7")]
+    pub(crate) target: Option<TargetMessage>,
+    #[prost(uint64, tag = "8")]
+    pub(crate) config_version: u64,
+    #[prost(fixed64, repeated, tag = "9")]
+    pub(crate) crashes: Vec<u64>,
+    #[prost(string, repeated, tag = "10")]
+    pub(crate) known: Vec<String>,
+    #[prost(uint64, tag = "11")]
+    pub(crate) heard_report: u64,
+    #[prost(message, optional, tag = "12")]
+    pub(crate) your_target: Option<TargetMessage>,
+    #[prost(bool, tag = "13")]
+    pub(crate) answer: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct TargetMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) id: String,
+    #[prost(string, tag = "2")]
+    pub(crate) service: String,
+    #[prost(uint64, tag = "3")]
+    pub(crate) born_ms: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) sequence: u64,
+    #[prost(uint32, tag = "5")]
+    pub(crate) slots: u32,
+    #[prost(uint32, tag = "6")]
+    pub(crate) state: u32,
+}
--- /dev/null
+++ b/crates/mesh/src/arrival_budget.rs
@@ -0,0 +1,72 @@
+use std::{
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// A part of the shared budget that stays unspent, since daemons count their windows apart.
+const SPENT_SHARE: f64 = 0.7;
+
+/// Bounds the arrivals at targets beyond the first of each request.
+///
+/// The budget is shared by all daemons without any message: each spends its share of the slack, by
+/// the size of the fleet that it sees, and the ratio on the requests that it took in itself.
+#[derive(Debug)]
+pub struct ArrivalBudget {
+    ratio: f64,
+    services: HashMap<Rc<str>, Window>,
+    slack: f64,
+    window: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    repeats: VecDeque<Instant>,
+    requests: VecDeque<Instant>,
+}
+
+impl ArrivalBudget {
+    /// Makes a budget of `ratio` repeats a request and `slack` repeats a fleet, in each `window`.
+    #[must_use]
+    pub fn new(ratio: f64, slack: f64, window: Duration) -> Self {
+        Self {
+            ratio,
+            services: HashMap::new(),
+            slack,
+            window,
+        }
+    }
+
+    /// Counts a request that a client sent for a service.
+    pub fn request(&mut self, now: Instant, service: &Rc<str>) {
+        let window = self.window;
+        let counted = self.services.entry(service.clone()).or_default();
+        forget(&mut counted.requests, now, window);
+        counted.requests.push_back(now);
+    }
+
+    /// Takes one repeat out of the budget; returns whether there was one left.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn take(&mut self, now: Instant, service: &Rc<str>, daemons: usize) -> bool {
+        let window = self.window;
+        let counted = self.services.entry(service.clone()).or_default();
+        forget(&mut counted.repeats, now, window);
+        forget(&mut counted.requests, now, window);
+        let share = self.slack / daemons.max(1) as f64;
+        let most = SPENT_SHARE * (self.ratio * counted.requests.len() as f64 + share);
+        let left = (counted.repeats.len() as f64) < most.floor();
+        if left {
+            counted.repeats.push_back(now);
+        }
+        left
+    }
+}
+
+fn forget(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
+    while times
+        .front()
+        .is_some_and(|time| now.saturating_duration_since(*time) > window)
+    {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/crash_list.rs
@@ -0,0 +1,90 @@
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+/// After how many crashes a request is refused: one may be chance, a second one names it.
+const CRASHES_TO_REFUSE: usize = 2;
+
+/// How long a crash counts. Such requests come again within seconds; an operator may need minutes.
+const REMEMBERED: Duration = Duration::from_mins(10);
+
+/// The most requests remembered, so that a storm of crashes can't fill the memory.
+const MOST_REMEMBERED: usize = 512;
+
+/// The requests that were running when a target crashed, by fingerprint.
+///
+/// Every daemon learns of every crash, so a request that crashes targets stops everywhere.
+#[derive(Debug, Default)]
+pub struct CrashList {
+    crashes: HashMap<u64, Vec<Crash>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    at: Instant,
+    id: u64,
+}
+
+impl CrashList {
+    /// Takes in that a request was running at crash `id`; returns whether that is news.
+    pub fn record(&mut self, now: Instant, fingerprint: u64, id: u64) -> bool {
+        if self.crashes.len() >= MOST_REMEMBERED && !self.crashes.contains_key(&fingerprint) {
+            self.crashes.retain(|_, crashes| {
+                crashes
+                    .iter()
+                    .any(|crash| now.saturating_duration_since(crash.at) < REMEMBERED)
+            });
+            if self.crashes.len() >= MOST_REMEMBERED {
+                return false;
+            }
+        }
+        let crashes = self.crashes.entry(fingerprint).or_default();
+        let news = crashes.len() < CRASHES_TO_REFUSE && crashes.iter().all(|crash| crash.id != id);
+        if news {
+            crashes.push(Crash { at: now, id });
+        }
+        news
+    }
+
+    /// Clears a request that ran to its end.
+    pub fn clear(&mut self, fingerprint: u64) {
+        if !self.crashes.is_empty() {
+            self.crashes.remove(&fingerprint);
+        }
+    }
+
+    /// Returns whether the request crashed targets so often that it is refused.
+    #[must_use]
+    pub fn refuses(&self, now: Instant, fingerprint: u64) -> bool {
+        !self.crashes.is_empty() && self.count(now, fingerprint) >= CRASHES_TO_REFUSE
+    }
+
+    /// Returns the crashes that count against a request.
+    #[must_use]
+    pub fn count(&self, now: Instant, fingerprint: u64) -> usize {
+        let crashes = self.crashes.get(&fingerprint).into_iter().flatten();
+        crashes
+            .filter(|crash| now.saturating_duration_since(crash.at) < REMEMBERED)
+            .count()
+    }
+
+    /// Returns the latest crashes as pairs of fingerprint and crash id, at most `most` of them.
+    #[must_use]
+    pub fn latest(&self, most: usize) -> Vec<(u64, u64)> {
+        let mut all: Vec<(Instant, u64, u64)> = self
+            .crashes
+            .iter()
+            .flat_map(|(fingerprint, crashes)| {
+                crashes
+                    .iter()
+                    .map(|crash| (crash.at, *fingerprint, crash.id))
+            })
+            .collect();
+        all.sort_unstable_by(|left, right| right.cmp(left));
+        all.truncate(most);
+        all.into_iter()
+            .map(|(_, fingerprint, id)| (fingerprint, id))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/directory.rs
@@ -0,0 +1,144 @@
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{Peer, PeerRecord, TargetChoice, TargetQuery};
+
+/// What a hop into another availability zone costs beside its time: bytes between zones are dear.
+const ZONE_PENALTY: Duration = Duration::from_millis(8);
+
+/// A hop there and back within an availability zone.
+const HOP: Duration = Duration::from_millis(1);
+
+/// A hop there and back between availability zones.
+const ZONE_HOP: Duration = Duration::from_millis(4);
+
+/// The share of the target latency that a run that fails costs, since it has to be made again.
+const FAILURE_COST: f64 = 1.0;
+
+/// The other daemons by address, and the choice among their targets.
+#[derive(Debug)]
+pub struct Directory {
+    availability_zone: Rc<str>,
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Directory {
+    /// Makes the empty directory of a daemon in `availability_zone`.
+    #[must_use]
+    pub const fn new(availability_zone: Rc<str>) -> Self {
+        Self {
+            availability_zone,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a daemon's own report; returns whether the daemon was unknown.
+    pub fn hear(&mut self, now: Instant, record: PeerRecord) -> bool {
+        let address = record.address;
+        let known = self.peers.contains_key(&address);
+        let peer = self
+            .peers
+            .entry(address)
+            .or_insert_with(|| Peer::new(record.clone()));
+        peer.hear(now, record);
+        !known
+    }
+
+    /// Takes in what the store remembers of a daemon; returns whether the daemon was unknown.
+    pub fn remember(&mut self, record: PeerRecord) -> bool {
+        let known = self.peers.contains_key(&record.address);
+        if !known {
+            self.peers.insert(record.address, Peer::new(record));
+        }
+        !known
+    }
+
+    /// Returns a daemon's entry.
+    pub fn peer_mut(&mut self, address: SocketAddr) -> Option<&mut Peer> {
+        self.peers.get_mut(&address)
+    }
+
+    /// Returns a daemon's entry.
+    #[must_use]
+    pub fn peer(&self, address: SocketAddr) -> Option<&Peer> {
+        self.peers.get(&address)
+    }
+
+    /// Returns all daemons.
+    pub fn peers(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Forgets the daemons that were silent for longer than `age`.
+    pub fn forget_silent(&mut self, now: Instant, age: Duration) {
+        self.peers
+            .retain(|_, peer| peer.silent_for(now).is_none_or(|silent| silent < age));
+    }
+
+    /// Returns the number of daemons that are alive, this one included.
+    #[must_use]
+    pub fn alive(&self, now: Instant) -> usize {
+        1 + self
+            .peers
+            .values()
+            .filter(|peer| peer.is_alive(now))
+            .count()
+    }
+
+    /// Chooses the target with the soonest expected answer; bytes between zones count as time.
+    ///
+    /// The choice may wait at its gate until the second best is the better one.
+    #[must_use]
+    pub fn choose(&self, now: Instant, query: &TargetQuery) -> Option<TargetChoice> {
+        let mut best: Option<(Duration, Duration, &Peer)> = None;
+        let mut second: Option<Duration> = None;
+        for peer in self.peers.values() {
+            let Some((cost, wait)) = self.cost(now, peer, query) else {
+                continue;
+            };
+            let jitter = Duration::from_micros(fastrand::u64(..500));
+            let cost = cost + jitter;
+            match best {
+                Some((least, ..)) if least <= cost => {
+                    second = Some(second.map_or(cost, |other| other.min(cost)));
+                }
+                _ => {
+                    second = best.map(|(least, ..)| least).or(second);
+                    best = Some((cost, wait, peer));
+                }
+            }
+        }
+        let (cost, wait, peer) = best?;
+        let record = peer.record();
+        let target = record.target.as_ref()?;
+        Some(TargetChoice {
+            address: record.address,
+            target: target.id.clone(),
+            patience: second.map(|second| second.saturating_sub(cost) + wait + ZONE_HOP * 2),
+            expected: cost,
+        })
+    }
+
+    /// Returns the expected time to an answer with all penalties, and the wait in it.
+    fn cost(&self, now: Instant, peer: &Peer, query: &TargetQuery) -> Option<(Duration, Duration)> {
+        let record = peer.record();
+        let target = record.target.as_ref()?;
+        let offered = record.serving && target.is_usable() && *target.service == *query.service;
+        if !offered || !peer.is_alive(now) || query.excluded.contains(&record.address) {
+            return None;
+        }
+        let run = peer.expected_run(query.route, query.assumed_run);
+        let wait = peer.expected_wait(now, run);
+        let hop = if record.availability_zone == self.availability_zone {
+            HOP
+        } else {
+            ZONE_HOP + ZONE_PENALTY
+        };
+        let failing = query.target_latency.mul_f64(peer.failing() * FAILURE_COST);
+        Some((run + wait + hop + failing, wait))
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate_queue.rs
@@ -0,0 +1,146 @@
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
+
+use crate::{Offer, WaitingWork};
+
+/// The slots of one target and the requests that wait for them.
+///
+/// Who goes next: the more urgent rank; among equals those that can still be answered in time, first
+/// come first served; then the late ones. A request is refused when it comes, not after a wait, where
+/// the work ahead of it already takes longer than it can wait.
+#[derive(Debug)]
+pub struct GateQueue {
+    next_ticket: u64,
+    running: u32,
+    running_work: Duration,
+    slots: u32,
+    waiting: Vec<(u64, WaitingWork)>,
+}
+
+impl GateQueue {
+    /// Makes the queue of a target that runs `slots` requests at once.
+    #[must_use]
+    pub const fn new(slots: u32) -> Self {
+        Self {
+            next_ticket: 1,
+            running: 0,
+            running_work: Duration::ZERO,
+            slots,
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Takes in how many requests the target runs at once.
+    pub const fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Asks for a slot; `patience` bounds the wait, which the ranks ahead determine.
+    pub fn offer(&mut self, now: Instant, work: WaitingWork, patience: Duration) -> Offer {
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.start(&work);
+            return Offer::Start;
+        }
+        let wait = self.expected_wait(work.rank);
+        if wait > patience || now + wait > work.last_start {
+            return Offer::Refuse { wait };
+        }
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.waiting.push((ticket, work));
+        Offer::Wait(ticket)
+    }
+
+    /// Returns how long a request of this rank would wait.
+    #[must_use]
+    pub fn expected_wait(&self, rank: u32) -> Duration {
+        if self.slots == 0 {
+            return Duration::MAX;
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            return Duration::ZERO;
+        }
+        let ahead: Duration = self
+            .waiting
+            .iter()
+            .filter(|(_, work)| work.rank <= rank)
+            .map(|(_, work)| work.expected_run)
+            .sum();
+        // What runs is half done in the mean; the first to end frees a slot.
+        let running = self.running_work / 2 / self.running.max(1);
+        ahead / self.slots + running / self.slots
+    }
+
+    /// Takes back a slot whose run ended.
+    pub fn finish(&mut self, expected_run: Duration) {
+        self.running = self.running.saturating_sub(1);
+        self.running_work = self.running_work.saturating_sub(expected_run);
+    }
+
+    /// Removes a request that left while it waited; returns whether it did wait.
+    pub fn cancel(&mut self, ticket: u64) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|(other, _)| *other != ticket);
+        before != self.waiting.len()
+    }
+
+    /// Removes and returns the tickets that can't start in time any more.
+    pub fn expire(&mut self, now: Instant) -> Vec<u64> {
+        let mut expired = Vec::new();
+        self.waiting.retain(|(ticket, work)| {
+            let keep = work.last_start >= now;
+            if !keep {
+                expired.push(*ticket);
+            }
+            keep
+        });
+        expired
+    }
+
+    /// Removes and returns all that wait, for a target that is gone.
+    pub fn clear(&mut self) -> Vec<u64> {
+        self.waiting.drain(..).map(|(ticket, _)| ticket).collect()
+    }
+
+    /// Starts the next request if there is a free slot; returns its ticket.
+    pub fn next(&mut self, now: Instant) -> Option<u64> {
+        if self.running >= self.slots {
+            return None;
+        }
+        let (index, _) = self
+            .waiting
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, (ticket, work))| {
+                (Reverse(work.rank), work.aim_start >= now, Reverse(*ticket))
+            })?;
+        let (ticket, work) = self.waiting.remove(index);
+        self.start(&work);
+        Some(ticket)
+    }
+
+    /// Returns the moment at which the next waiting request can't start any more.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.waiting.iter().map(|(_, work)| work.last_start).min()
+    }
+
+    /// Returns the number of requests that run.
+    #[must_use]
+    pub const fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn start(&mut self, work: &WaitingWork) {
+        self.running += 1;
+        self.running_work += work.expected_run;
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/own_target.rs
@@ -0,0 +1,135 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{AnnouncedState, Announcement, TargetRecord};
+
+/// The target beside this daemon, by what it announced.
+///
+/// Announcements of an earlier life, and earlier ones of this life, change nothing.
+#[derive(Debug, Default)]
+pub struct OwnTarget {
+    cold_until: Option<Instant>,
+    down: bool,
+    record: Option<TargetRecord>,
+}
+
+impl OwnTarget {
+    /// Takes in an announcement; returns whether it changed the record.
+    ///
+    /// A farewell names the life that it belongs to by id, and by start where it tells one.
+    pub fn announce(&mut self, now: Instant, heard: &Announcement) -> bool {
+        if heard.state == AnnouncedState::Gone {
+            return self.leave(heard);
+        }
+        let Some(service) = &heard.service else {
+            return false;
+        };
+        if self
+            .record
+            .as_ref()
+            .is_some_and(|known| is_stale(known, heard))
+        {
+            return false;
+        }
+        let record = TargetRecord {
+            born_ms: heard.born_ms,
+            id: heard.id.clone(),
+            sequence: heard.sequence,
+            service: service.clone(),
+            slots: heard.slots,
+            state: heard.state,
+        };
+        self.down = false;
+        self.cold_until = (!heard.cold_remaining.is_zero()).then(|| now + heard.cold_remaining);
+        let changed = self.record.as_ref().is_none_or(|known| {
+            known.id != record.id
+                || known.born_ms != record.born_ms
+                || known.state != record.state
+                || known.slots != record.slots
+        });
+        self.record = Some(record);
+        changed
+    }
+
+    /// Takes in what the store or a peer remembers of this target from an earlier life of the daemon.
+    ///
+    /// A remembered target that was ready isn't used until it announces itself or a probe finds it.
+    pub fn remember(&mut self, remembered: TargetRecord) {
+        if self.record.is_none() {
+            self.down = remembered.is_usable();
+            self.record = Some(remembered);
+        }
+    }
+
+    /// Takes in a probe's finding that `id` is healthy; returns whether it changed the record.
+    pub fn probed(&mut self, id: &Rc<str>, service: &Rc<str>, slots: u32) -> bool {
+        match &mut self.record {
+            Some(known) if known.id == *id => {
+                let revived = self.down && known.is_usable();
+                self.down &= !revived;
+                revived
+            }
+            Some(_) => false,
+            None => {
+                self.record = Some(TargetRecord {
+                    born_ms: 0,
+                    id: id.clone(),
+                    sequence: 0,
+                    service: service.clone(),
+                    slots,
+                    state: AnnouncedState::Ready,
+                });
+                true
+            }
+        }
+    }
+
+    /// Notes that nothing listens at the target's address; it counts as down until it is heard again.
+    pub fn mark_down(&mut self) -> bool {
+        !std::mem::replace(&mut self.down, true)
+    }
+
+    /// Returns the record of the target if requests may be handed to it.
+    #[must_use]
+    pub fn usable(&self) -> Option<&TargetRecord> {
+        self.record
+            .as_ref()
+            .filter(|record| record.is_usable() && !self.down)
+    }
+
+    /// Returns the record, usable or not.
+    #[must_use]
+    pub const fn record(&self) -> Option<&TargetRecord> {
+        self.record.as_ref()
+    }
+
+    /// Returns how much longer the target is slow after its start.
+    #[must_use]
+    pub fn cold_remaining(&self, now: Instant) -> Duration {
+        self.cold_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    fn leave(&mut self, heard: &Announcement) -> bool {
+        let Some(known) = &mut self.record else {
+            return false;
+        };
+        let earlier_life = heard.born_ms != 0 && heard.born_ms < known.born_ms;
+        let changes = known.id == heard.id && !earlier_life && known.state != AnnouncedState::Gone;
+        if changes {
+            known.state = AnnouncedState::Gone;
+            known.sequence = known.sequence.max(heard.sequence);
+        }
+        changes
+    }
+}
+
+fn is_stale(known: &TargetRecord, heard: &Announcement) -> bool {
+    if heard.born_ms != known.born_ms {
+        return heard.born_ms < known.born_ms;
+    }
+    let left = known.state != AnnouncedState::Ready && heard.state == AnnouncedState::Ready;
+    heard.id == known.id && (heard.sequence <= known.sequence || left)
+}
--- /dev/null
+++ b/crates/mesh/src/peer.rs
@@ -0,0 +1,136 @@
+use std::time::{Duration, Instant};
+
+use crate::{PeerRecord, RouteKey, RunTimes, TargetLoad};
+
+/// How long a daemon that wasn't heard counts as alive: three reports and a margin.
+const SILENT: Duration = Duration::from_millis(1_800);
+
+/// How long a daemon that a call couldn't reach is passed over, unless it is heard before.
+const UNREACHABLE: Duration = Duration::from_secs(1);
+
+/// How long a report on load is taken at its word.
+const LOAD_FRESH: Duration = Duration::from_millis(1_500);
+
+/// One other daemon, its target, and what calls to it have shown.
+#[derive(Debug)]
+pub struct Peer {
+    /// The hops to it that aren't answered.
+    pub in_flight: u32,
+    in_flight_at_report: u32,
+    heard_at: Option<Instant>,
+    load: TargetLoad,
+    load_at: Option<Instant>,
+    record: PeerRecord,
+    run_times: RunTimes,
+    unreachable_until: Option<Instant>,
+}
+
+impl Peer {
+    /// Makes the entry of a daemon that was heard of.
+    #[must_use]
+    pub fn new(record: PeerRecord) -> Self {
+        Self {
+            in_flight: 0,
+            in_flight_at_report: 0,
+            heard_at: None,
+            load: record.load,
+            load_at: None,
+            record,
+            run_times: RunTimes::default(),
+            unreachable_until: None,
+        }
+    }
+
+    /// Takes in the daemon's own report; returns whether it is newer than what was known.
+    pub fn hear(&mut self, now: Instant, record: PeerRecord) -> bool {
+        let known = (self.record.incarnation, self.record.report);
+        if (record.incarnation, record.report) <= known && self.heard_at.is_some() {
+            return false;
+        }
+        let target_id =
+            |record: &PeerRecord| record.target.as_ref().map(|target| target.id.clone());
+        if target_id(&record) != target_id(&self.record) {
+            self.run_times.clear();
+        }
+        self.heard_at = Some(now);
+        self.unreachable_until = None;
+        self.take_load(now, record.load);
+        self.record = record;
+        true
+    }
+
+    /// Takes in a count of the target's load that came with an answer.
+    pub fn take_load(&mut self, now: Instant, load: TargetLoad) {
+        self.load = load;
+        self.load_at = Some(now);
+        self.in_flight_at_report = self.in_flight;
+    }
+
+    /// Takes in the time of a run at the target.
+    pub fn take_run(&mut self, route: RouteKey, took: Duration, assumed: Duration) {
+        self.run_times.record(route, took, assumed);
+    }
+
+    /// Notes that a call didn't reach the daemon.
+    pub fn mark_unreachable(&mut self, now: Instant) {
+        self.unreachable_until = Some(now + UNREACHABLE);
+    }
+
+    /// Returns whether the daemon was heard lately and the last call reached it.
+    #[must_use]
+    pub fn is_alive(&self, now: Instant) -> bool {
+        let heard = self
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SILENT);
+        heard && self.unreachable_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns how long it was since the daemon was heard.
+    #[must_use]
+    pub fn silent_for(&self, now: Instant) -> Option<Duration> {
+        self.heard_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Returns what the daemon last told of itself.
+    #[must_use]
+    pub const fn record(&self) -> &PeerRecord {
+        &self.record
+    }
+
+    /// Returns how long a run of the route is expected to take at the target.
+    #[must_use]
+    pub fn expected_run(&self, route: RouteKey, assumed: Duration) -> Duration {
+        self.run_times.expected(route, assumed)
+    }
+
+    /// Returns the share of runs that failed at the target lately.
+    #[must_use]
+    pub fn failing(&self) -> f64 {
+        f64::from(self.load.failing_of_256) / 256.0
+    }
+
+    /// Returns how long a request sent now would wait at the gate.
+    ///
+    /// Hops of this daemon since the report are added to what the gate counted.
+    #[must_use]
+    pub fn expected_wait(&self, now: Instant, expected_run: Duration) -> Duration {
+        let slots = self
+            .record
+            .target
+            .as_ref()
+            .map_or(1, |target| target.slots)
+            .max(1);
+        let fresh = self
+            .load_at
+            .is_some_and(|at| now.saturating_duration_since(at) < LOAD_FRESH);
+        let counted = if fresh {
+            let since = i64::from(self.in_flight) - i64::from(self.in_flight_at_report);
+            i64::from(self.load.running + self.load.waiting) + since
+        } else {
+            0
+        };
+        let total = counted.max(i64::from(self.in_flight));
+        let ahead = u32::try_from((total + 1 - i64::from(slots)).max(0)).unwrap_or(u32::MAX);
+        expected_run * ahead / slots
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/repeat.rs
@@ -0,0 +1,10 @@
+use displaydoc::Display;
+
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+pub enum Repeat {
+    /// at most once
+    AtMostOnce,
+    /// idempotent
+    Idempotent,
+}
--- /dev/null
+++ b/crates/mesh/src/site_settings.rs
@@ -0,0 +1,40 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+/// The settings of one daemon on the users' platform, decoded and checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SiteSettings {
+    /// The availability zone of the instance.
+    pub availability_zone: Rc<str>,
+    /// The window of the retry budget.
+    pub budget_window: Duration,
+    /// The repeats that a fleet may make in a window beside the ratio.
+    pub budget_slack: f64,
+    /// The repeats that a fleet may make for each request.
+    pub budget_ratio: f64,
+    /// Where the target announces itself.
+    pub control_address: SocketAddr,
+    /// How long a target that leaves is still served.
+    pub drain: Duration,
+    /// How long a planned stop may take.
+    pub grace: Duration,
+    /// How often a target announces itself.
+    pub heartbeat_interval: Duration,
+    /// The instance's name.
+    pub instance: Rc<str>,
+    /// The most file descriptors of the process.
+    pub max_descriptors: usize,
+    /// Where this daemon takes calls, reports and datagrams of other daemons.
+    pub peer_address: SocketAddr,
+    /// Where operators read metrics and the dump.
+    pub administration_address: SocketAddr,
+    /// Where clients send their requests.
+    pub outbound_address: SocketAddr,
+    /// Where the platform asks whether this daemon is ready.
+    pub readiness_address: SocketAddr,
+    /// The service of the target on this instance.
+    pub service: Rc<str>,
+    /// Where the platform's store is.
+    pub store_address: SocketAddr,
+    /// Where the target on this instance serves.
+    pub target_address: SocketAddr,
+}
--- /dev/null
+++ b/crates/mesh/src/target_choice.rs
@@ -0,0 +1,14 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+/// The target chosen for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetChoice {
+    /// The daemon beside the target.
+    pub address: SocketAddr,
+    /// The target's id.
+    pub target: Rc<str>,
+    /// How long the request may wait there before another target is the better choice.
+    pub patience: Option<Duration>,
+    /// How long an answer is expected to take.
+    pub expected: Duration,
+}
--- a/crates/platform/src/http_platform.rs
+++ b/crates/platform/src/http_platform.rs
@@ -10,7 +10,7 @@
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
-/// The platform met through plain HTTP, as `docs/design/platform.md` describes.
+/// The platform met through plain HTTP, as `docs/design/store.md` describes.
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
     agent: Agent,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,7 @@
 //! The platform's table service and object store, and the one way in which a change of the lists
 //! is committed to them.
 //!
-//! Everything that must outlive a process is kept here. See `docs/design/platform.md` and
+//! Everything that must outlive a process is kept here. See `docs/design/store.md` and
 //! `docs/design/commit.md`.
 
 mod attempt;
