Keep what a target said across a restart of its daemon

The row that told of the farewell was overwritten by the new life's first write, and peers' reports held usable targets only.

Ruled out: a late heartbeat; the traces show none.

Change: the own row is read before it is written, reports carry targets that left too and tell a starting daemon of its own, and the probe waits for either. A heartbeat that revives a remembered target counts as a change, or the gate would stay without slots.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -23,11 +23,15 @@
     pub(crate) reports: UdpSocket,
     /// Wakes the writing of this daemon's row.
     pub(crate) row_changed: Notify,
+    /// Wakes those who wait for the first reading of the daemons' rows.
+    pub(crate) rows_read: Notify,
     pub(crate) runs: RunTable,
     pub(crate) settings: SiteSettings,
     pub(crate) stopping: Cell<bool>,
     pub(crate) store: StoreClient,
     pub(crate) target_pool: ConnectionPool,
+    /// Whether the daemons' rows were read since the start.
+    pub(crate) was_read: Cell<bool>,
 }
 
 impl App {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -145,8 +145,8 @@
         RunEnd::Lost(_) | RunEnd::NotRun(_) => (false, true),
     };
     let sample = succeeded.then_some(took).or_else(|| {
-        let slow = matches!(end, RunEnd::Lost(RefusalReason::Deadline));
-        slow.then_some(took)
+        let timed_out = matches!(end, RunEnd::Lost(RefusalReason::Deadline));
+        timed_out.then_some(took)
     });
     app.core.with(|node, _| {
         node.note_run(call.route.key, call.route.assumed_run, sample, failed);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -146,8 +146,8 @@
             incarnation: self.incarnation,
             load: self.load(),
             report: self.report,
-            serving: self.serving,
-            target: self.own.usable().cloned(),
+            serving: self.serving && self.own.usable().is_some(),
+            target: self.own.record().cloned(),
         }
     }
 
@@ -209,7 +209,7 @@
             heard_report: peer.map_or(0, |peer| peer.record().report),
             known,
             sender,
-            your_target: None,
+            your_target: peer.and_then(|peer| peer.record().target.clone()),
         };
         if let Err(error) = app.reports.send_to(&report.encode(), to) {
             app.metrics.reports_unsent.inc();
@@ -238,6 +238,9 @@
             .directory
             .peer(from)
             .is_none_or(|peer| !peer.is_alive(now));
+        if let Some(target) = report.your_target {
+            self.own.remember(target);
+        }
         let unknown = self.directory.hear(now, report.sender);
         if unknown || report.answer {
             let record = self.next_record();
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -12,6 +12,9 @@
 /// How long after a start the rows are read again: all daemons start within 0.3 s of each other.
 const SECOND_READ: Duration = Duration::from_millis(1_500);
 
+/// How long the first write waits for the first read.
+const ROW_FIRST: Duration = Duration::from_secs(2);
+
 /// How often the rows are read while all is well; reports tell of most changes.
 const READ_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -19,7 +22,12 @@
 const GATHER: Duration = Duration::from_millis(150);
 
 /// Keeps this daemon's row in the store.
+///
+/// The row of an earlier life is read first: it may tell that the target has left.
 pub(crate) async fn keep_row(app: Rc<App>) {
+    if timeout(ROW_FIRST, app.rows_read.notified()).await.is_err() {
+        log::info!(event = "rows-unread"; "");
+    }
     loop {
         write_row(&app).await;
         app.row_changed.notified().await;
@@ -30,11 +38,7 @@
 async fn write_row(app: &Rc<App>) {
     let mut failures = 0;
     loop {
-        let sender = app.core.with(|node, _| {
-            let mut record = node.next_record();
-            record.target = node.own.record().cloned();
-            record
-        });
+        let sender = app.core.with(|node, _| node.next_record());
         let key = sender.address.to_string();
         let row = Report {
             answer: false,
@@ -80,7 +84,8 @@
             sleep(backoff(failures)).await;
             failures += 1;
         }
-        // A wake-up by `peers_changed` would be of no use here: it means that reports come.
+        app.rows_read.notify_waiters();
+        app.was_read.set(true);
         sleep(wait.mul_f64(0.75 + fastrand::f64() * 0.5)).await;
         wait = READ_INTERVAL;
     }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -21,9 +21,13 @@
 /// How often that is at most; after that a heartbeat must have come.
 const CONFIG_CHECKS: usize = 20;
 
+/// How often what is remembered of the target is looked for before the probe alone decides.
+const MEMORY_CHECKS: usize = 20;
+
 /// Finds the target of an earlier life of this daemon by one probe, unless it is heard before.
 pub(crate) async fn probe_target(app: Rc<App>) {
     sleep(HEARTBEAT_FIRST).await;
+    wait_for_memory(&app).await;
     for _ in 0..CONFIG_CHECKS {
         let path = app.core.with(|node, _| {
             let config = node.config.as_ref()?;
@@ -38,6 +42,18 @@
     }
 }
 
+/// Waits for what the store or a peer remembers of the target: one that has said farewell may still
+/// call itself healthy.
+async fn wait_for_memory(app: &Rc<App>) {
+    for _ in 0..MEMORY_CHECKS {
+        let remembered = app.core.with(|node, _| node.own.record().is_some());
+        if app.was_read.get() || remembered {
+            return;
+        }
+        sleep(CONFIG_CHECK).await;
+    }
+}
+
 async fn probe(app: &Rc<App>, path: &str) {
     app.metrics.probes.inc();
     let address = app.settings.target_address;
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -146,11 +146,13 @@
         peers_changed: Notify::new(),
         reports,
         row_changed: Notify::new(),
+        rows_read: Notify::new(),
         runs: RunTable::default(),
         settings: settings.clone(),
         stopping: Cell::new(false),
         store: StoreClient::new(settings.store_address),
         target_pool: ConnectionPool::new(TARGET_IDLE, TARGET_KEPT),
+        was_read: Cell::new(false),
     }))
 }
 
--- a/crates/mesh/src/own_target.rs
+++ b/crates/mesh/src/own_target.rs
@@ -41,14 +41,15 @@
             slots: heard.slots,
             state: heard.state,
         };
-        self.down = false;
+        let was_down = std::mem::take(&mut self.down);
         self.cold_until = (!heard.cold_remaining.is_zero()).then(|| now + heard.cold_remaining);
-        let changed = self.record.as_ref().is_none_or(|known| {
-            known.id != record.id
-                || known.born_ms != record.born_ms
-                || known.state != record.state
-                || known.slots != record.slots
-        });
+        let changed = was_down
+            || self.record.as_ref().is_none_or(|known| {
+                known.id != record.id
+                    || known.born_ms != record.born_ms
+                    || known.state != record.state
+                    || known.slots != record.slots
+            });
         self.record = Some(record);
         changed
     }
