Weigh a hop into another zone by the request's target latency

Ruled out: compressing bodies, whose bytes are the targets' own.

Change: the hop costs 0.15 of the route's target latency.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -7,8 +7,9 @@
 
 use crate::{Peer, PeerRecord, TargetChoice, TargetQuery};
 
-/// What a hop into another availability zone costs beside its time: bytes between zones are dear.
-const ZONE_PENALTY: Duration = Duration::from_millis(8);
+/// What a hop into another availability zone costs beside its time, as a share of the target latency:
+/// bytes between zones are dear, and an answer within the target latency needn't be the fastest.
+const ZONE_COST: f64 = 0.15;
 
 /// A hop there and back within an availability zone.
 const HOP: Duration = Duration::from_millis(1);
@@ -136,7 +137,7 @@
         let hop = if record.availability_zone == self.availability_zone {
             HOP
         } else {
-            ZONE_HOP + ZONE_PENALTY
+            ZONE_HOP + query.target_latency.mul_f64(ZONE_COST)
         };
         let failing = query.target_latency.mul_f64(peer.failing() * FAILURE_COST);
         Some((run + wait + hop + failing, wait))
