Keep the gate's queue short and serve the tightest target latency first

Cause: under load a request waited until its deadline allowed no more, so all were late (p50 of sky-map-read 170 ms for a target latency of 200 ms) and some were refused after 690 ms. Calls made by targets, which have the tightest target latency, waited behind their own parents' work and failed it: 2,255 of 18,196 runs of skymap ended with 500.

Change: a request waits at most until its target latency and a tenth of the time from there to its deadline; among equal ranks the one that must start first goes first; the wait is reckoned by that order.

--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -28,6 +28,9 @@
 /// The part of the time left for which a request waits for a target to be known at all.
 const WAIT_FOR_TARGET_SHARE: f64 = 0.3;
 
+/// The part of the time between the target latency and the deadline for which a request may wait.
+const LATE_SHARE: f64 = 0.1;
+
 /// How many gates may turn a request away for a better one before it is refused.
 const MAX_TURNS: usize = 4;
 
@@ -223,7 +226,10 @@
             let peer = node.directory.peer(choice.address);
             peer.map_or(assumed, |peer| peer.expected_run(self.route.key, assumed))
         });
-        let most = left.saturating_sub(run);
+        let aim_left = self.route.target_latency.saturating_sub(waited);
+        let late = left.saturating_sub(aim_left);
+        let longest = aim_left.max(run) + late.mul_f64(LATE_SHARE);
+        let most = longest.min(left).saturating_sub(run);
         let patience = match choice.patience {
             Some(patience) if tries.turns < MAX_TURNS => patience.min(most),
             _ => most,
--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -7,9 +7,10 @@
 
 /// The slots of one target and the requests that wait for them.
 ///
-/// Who goes next: the more urgent rank; among equals those that can still be answered in time, first
-/// come first served; then the late ones. A request is refused when it comes, not after a wait, where
-/// the work ahead of it already takes longer than it can wait.
+/// Who goes next: the more urgent rank; among equals those that can still be answered in time, the
+/// one that has to start first before the others; then the late ones. A request is refused when it
+/// comes, not after a wait, where the work ahead of it already takes longer than it can wait: a longer
+/// queue serves nobody more, it only makes all of them late.
 #[derive(Debug)]
 pub struct GateQueue {
     next_ticket: u64,
@@ -43,7 +44,7 @@
             self.start(&work);
             return Offer::Start;
         }
-        let wait = self.expected_wait(work.rank);
+        let wait = self.wait_behind(|ahead| goes_before(now, ahead, &work));
         if wait > patience || now + wait > work.last_start {
             return Offer::Refuse { wait };
         }
@@ -56,6 +57,10 @@
     /// Returns how long a request of this rank would wait.
     #[must_use]
     pub fn expected_wait(&self, rank: u32) -> Duration {
+        self.wait_behind(|work| work.rank <= rank)
+    }
+
+    fn wait_behind(&self, is_ahead: impl Fn(&WaitingWork) -> bool) -> Duration {
         if self.slots == 0 {
             return Duration::MAX;
         }
@@ -65,7 +70,7 @@
         let ahead: Duration = self
             .waiting
             .iter()
-            .filter(|(_, work)| work.rank <= rank)
+            .filter(|(_, work)| is_ahead(work))
             .map(|(_, work)| work.expected_run)
             .sum();
         // What runs is half done in the mean; the first to end frees a slot.
@@ -113,9 +118,7 @@
             .waiting
             .iter()
             .enumerate()
-            .max_by_key(|(_, (ticket, work))| {
-                (Reverse(work.rank), work.aim_start >= now, Reverse(*ticket))
-            })?;
+            .max_by_key(|(_, (ticket, work))| (Reverse(order(now, work)), Reverse(*ticket)))?;
         let (ticket, work) = self.waiting.remove(index);
         self.start(&work);
         Some(ticket)
@@ -144,3 +147,12 @@
         self.running_work += work.expected_run;
     }
 }
+
+/// Returns a key that is lower for work that goes earlier.
+fn order(now: Instant, work: &WaitingWork) -> (u32, bool, Instant) {
+    (work.rank, work.aim_start < now, work.aim_start)
+}
+
+fn goes_before(now: Instant, ahead: &WaitingWork, work: &WaitingWork) -> bool {
+    order(now, ahead) <= order(now, work)
+}
