Keep a farewell that a daemon hears before it knows its target

Change: the farewell is kept as a record. One that tells no start stands for ten seconds against announcements under its id, which may be late ones.

--- /dev/null
+++ b/crates/edge/src/running_work.rs
@@ -0,0 +1,17 @@
+use crate::gate_call::GateCall;
+
+/// What is remembered of a request while the target runs it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunningWork {
+    pub(crate) fingerprint: u64,
+    pub(crate) is_repeat: bool,
+}
+
+impl RunningWork {
+    pub(crate) fn of(call: &GateCall) -> Self {
+        Self {
+            fingerprint: call.forwarded.fingerprint,
+            is_repeat: call.is_repeat,
+        }
+    }
+}
--- a/crates/mesh/src/own_target.rs
+++ b/crates/mesh/src/own_target.rs
@@ -5,6 +5,10 @@
 
 use crate::{AnnouncedState, Announcement, TargetRecord};
 
+/// How late an announcement may come. For so long after a farewell that told no start, announcements
+/// under the same id are taken for late ones, since they may belong to the life that ended.
+const LATE: Duration = Duration::from_secs(10);
+
 /// The target beside this daemon, by what it announced.
 ///
 /// Announcements of an earlier life, and earlier ones of this life, change nothing.
@@ -12,6 +16,7 @@
 pub struct OwnTarget {
     cold_until: Option<Instant>,
     down: bool,
+    left_at: Option<Instant>,
     record: Option<TargetRecord>,
 }
 
@@ -21,16 +26,12 @@
     /// A farewell names the life that it belongs to by id, and by start where it tells one.
     pub fn announce(&mut self, now: Instant, heard: &Announcement) -> bool {
         if heard.state == AnnouncedState::Gone {
-            return self.leave(heard);
+            return self.leave(now, heard);
         }
         let Some(service) = &heard.service else {
             return false;
         };
-        if self
-            .record
-            .as_ref()
-            .is_some_and(|known| is_stale(known, heard))
-        {
+        if self.is_late(now, heard) {
             return false;
         }
         let record = TargetRecord {
@@ -58,9 +59,16 @@
     ///
     /// A remembered target that was ready isn't used until it announces itself or a probe finds it.
     pub fn remember(&mut self, remembered: TargetRecord) {
-        if self.record.is_none() {
-            self.down = remembered.is_usable();
-            self.record = Some(remembered);
+        match &mut self.record {
+            None => {
+                self.down = remembered.is_usable();
+                self.record = Some(remembered);
+            }
+            Some(known) if known.id == remembered.id && known.born_ms == 0 => {
+                known.born_ms = remembered.born_ms;
+                known.sequence = known.sequence.max(remembered.sequence);
+            }
+            Some(_) => {}
         }
     }
 
@@ -113,10 +121,30 @@
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    fn leave(&mut self, heard: &Announcement) -> bool {
-        let Some(known) = &mut self.record else {
+    fn is_late(&self, now: Instant, heard: &Announcement) -> bool {
+        let Some(known) = &self.record else {
             return false;
         };
+        let unknown_life = known.id == heard.id && known.born_ms == 0 && !known.is_usable();
+        let left_lately = self
+            .left_at
+            .is_some_and(|at| now.saturating_duration_since(at) < LATE);
+        (unknown_life && left_lately) || is_stale(known, heard)
+    }
+
+    fn leave(&mut self, now: Instant, heard: &Announcement) -> bool {
+        self.left_at = Some(now);
+        let Some(known) = &mut self.record else {
+            self.record = Some(TargetRecord {
+                born_ms: heard.born_ms,
+                id: heard.id.clone(),
+                sequence: heard.sequence,
+                service: "".into(),
+                slots: 0,
+                state: AnnouncedState::Gone,
+            });
+            return true;
+        };
         let earlier_life = heard.born_ms != 0 && heard.born_ms < known.born_ms;
         let changes = known.id == heard.id && !earlier_life && known.state != AnnouncedState::Gone;
         if changes {
--- a/crates/mesh/tests/own_target.rs
+++ b/crates/mesh/tests/own_target.rs
@@ -91,3 +91,24 @@
     assert!(own.probed(&Rc::from("i-1"), &Rc::from("skymap"), 6));
     assert!(own.usable().is_some());
 }
+
+#[test]
+fn a_farewell_to_a_daemon_that_knows_nothing_yet_is_kept() {
+    let now = Instant::now();
+    let mut own = OwnTarget::default();
+    assert!(own.announce(now, &heard("i-1", 0, 0, AnnouncedState::Gone)));
+    own.remember(record("i-1", AnnouncedState::Ready));
+    assert!(!own.probed(&Rc::from("i-1"), &Rc::from("skymap"), 6));
+    assert!(!own.announce(now, &heard("i-1", 5, 4, AnnouncedState::Ready)));
+    assert!(own.usable().is_none());
+}
+
+#[test]
+fn a_late_heartbeat_after_a_farewell_that_told_no_start_changes_nothing() {
+    let now = Instant::now();
+    let mut own = OwnTarget::default();
+    own.announce(now, &heard("i-1", 0, 0, AnnouncedState::Gone));
+    assert!(!own.announce(now, &heard("i-1", 5, 4, AnnouncedState::Ready)));
+    let later = now + Duration::from_secs(11);
+    assert!(own.announce(later, &heard("i-1", 9, 1, AnnouncedState::Ready)));
+}
