Charge the retry budget with the calls of repeated runs

Each daemon kept to its share, but repeated runs of skymap made their calls again, and these count as repeats at sightings: 1,743 arrivals beyond the first in ten seconds, 1,460 allowed.

Ruled out: daemons that see too small a fleet (all alive in the dump).

Change: the daemon beside a target charges each request that enters with the share of repeats among the target's runs.

--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -60,7 +60,7 @@
     /// Tries targets until one answers or nothing more may be tried.
     pub(crate) async fn answer(&self, app: &Rc<App>) -> Reply {
         app.core
-            .with(|node, cx| node.budget.request(cx.now(), &self.service));
+            .with(|node, cx| node.count_request(cx.now(), &self.service));
         let mut tries = Tries::default();
         let latest = self.deadline + ANSWER_GRACE;
         let ended = timeout_at(latest.into(), self.try_targets(app, &mut tries)).await;
@@ -237,6 +237,7 @@
         GateCall {
             deadline: self.deadline,
             forwarded: self.forwarded.clone(),
+            is_repeat: tries.arrivals > 0,
             patience,
             route: HopRoute::of(&self.route, waited),
             target: choice.target.clone(),
--- a/crates/edge/src/gate_call.rs
+++ b/crates/edge/src/gate_call.rs
@@ -8,6 +8,8 @@
 /// A request that asks a gate to be run.
 pub(crate) struct GateCall {
     pub(crate) deadline: Instant,
+    /// Whether it has arrived at a target before.
+    pub(crate) is_repeat: bool,
     pub(crate) forwarded: Rc<Forwarded>,
     pub(crate) patience: Duration,
     pub(crate) route: HopRoute,
--- a/crates/edge/src/gate_server.rs
+++ b/crates/edge/src/gate_server.rs
@@ -54,6 +54,7 @@
     let patience = millis(hop_header::PATIENCE_MS)?;
     let fingerprint = u64::from_str_radix(text(hop_header::FINGERPRINT)?, 16).ok()?;
     let id = head.headers.get(headers::REQUEST_ID).cloned();
+    let is_repeat = head.headers.get(hop_header::REPEAT).is_some();
     head.headers.retain_end_to_end();
     head.headers
         .drop_own(&[headers::DEADLINE_MS], hop_header::PREFIX);
@@ -70,6 +71,7 @@
     Some(GateCall {
         deadline: deadline.max(Instant::now()),
         forwarded: Rc::new(forwarded),
+        is_repeat,
         patience,
         route,
         target,
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -145,6 +145,9 @@
     );
     put(hop_header::ROUTE, call.route.encode());
     put(hop_header::TARGET, call.target.to_string());
+    if call.is_repeat {
+        put(hop_header::REPEAT, "1".into());
+    }
     if attach {
         put(hop_header::ATTACH, "1".into());
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -49,6 +49,7 @@
 mod run_end;
 mod run_site;
 mod run_table;
+mod running_work;
 mod server_connection;
 mod server_options;
 mod slot_guard;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -13,7 +13,7 @@
 };
 use stakker::{CX, after};
 
-use crate::{app::App, waiter::Waiter};
+use crate::{app::App, running_work::RunningWork, waiter::Waiter};
 
 /// How often a daemon reports to the others. Three lost reports in a row make it count as silent.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -56,7 +56,7 @@
     pub(crate) queue: GateQueue,
     pub(crate) report: u64,
     pub(crate) run_times: RunTimes,
-    pub(crate) running: HashMap<u64, u64>,
+    pub(crate) running: HashMap<u64, RunningWork>,
     pub(crate) serving: bool,
     pub(crate) settings: SiteSettings,
     pub(crate) splits: HashMap<RouteKey, SplitCursor>,
@@ -297,6 +297,17 @@
         route.parts[index].service.clone()
     }
 
+    /// Counts a client's request into the budget of its service.
+    pub(crate) fn count_request(&mut self, now: Instant, service: &Rc<str>) {
+        self.budget.request(now, service);
+        let repeats = self.running.values().filter(|work| work.is_repeat).count();
+        if repeats > 0 {
+            #[allow(clippy::cast_precision_loss)]
+            let share = repeats as f64 / self.running.len() as f64;
+            self.budget.charge(now, service, share);
+        }
+    }
+
     /// Chooses a target and counts the hop to it.
     pub(crate) fn choose(&mut self, now: Instant, query: &TargetQuery) -> Option<TargetChoice> {
         let own = self.settings.peer_address;
--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -12,8 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    admission::Admission, app::App, gate_call::GateCall, node::Node, slot_guard::SlotGuard,
-    waiter::Waiter,
+    admission::Admission, app::App, gate_call::GateCall, node::Node, running_work::RunningWork,
+    slot_guard::SlotGuard, waiter::Waiter,
 };
 
 /// The weight of a new run in the share of runs that fail: it follows within about ten runs.
@@ -98,15 +98,14 @@
         match self.queue.offer(now, work, call.patience) {
             Offer::Refuse { wait } => refused(RefusalReason::Busy, wait),
             Offer::Start => {
-                let fingerprint = call.forwarded.fingerprint;
-                Admission::Started(self.begin_run(app, fingerprint, expected_run))
+                Admission::Started(self.begin_run(app, RunningWork::of(call), expected_run))
             }
             Offer::Wait(ticket) => {
                 let (sender, granted) = oneshot::channel();
                 let waiter = Waiter {
                     expected_run,
-                    fingerprint: call.forwarded.fingerprint,
                     sender,
+                    work: RunningWork::of(call),
                 };
                 self.waiters.insert(ticket, waiter);
                 Admission::Waiting { granted, ticket }
@@ -115,10 +114,10 @@
     }
 
     /// Counts a run that starts.
-    fn begin_run(&mut self, app: &Rc<App>, fingerprint: u64, expected_run: Duration) -> SlotGuard {
+    fn begin_run(&mut self, app: &Rc<App>, work: RunningWork, expected_run: Duration) -> SlotGuard {
         let run = self.next_run;
         self.next_run += 1;
-        self.running.insert(run, fingerprint);
+        self.running.insert(run, work);
         SlotGuard::new(app.clone(), run, expected_run)
     }
 
@@ -169,7 +168,7 @@
         self.last_crash = Some((now, id));
         self.crashes.record(now, fingerprint, id);
         for running in self.running.values() {
-            self.crashes.record(now, *running, id);
+            self.crashes.record(now, running.fingerprint, id);
         }
         if self.own.mark_down() {
             log::warn!(event = "target-down", fingerprint = fingerprint; "");
@@ -184,7 +183,7 @@
                 self.queue.finish(Duration::ZERO);
                 continue;
             };
-            let slot = self.begin_run(&app, waiter.fingerprint, waiter.expected_run);
+            let slot = self.begin_run(&app, waiter.work, waiter.expected_run);
             if let Err(Ok(slot)) = waiter.sender.send(Ok(slot)) {
                 let (run, expected_run) = slot.disarm();
                 self.running.remove(&run);
--- a/crates/edge/src/waiter.rs
+++ b/crates/edge/src/waiter.rs
@@ -3,11 +3,11 @@
 use medlarspool_hop::RefusalReason;
 use tokio::sync::oneshot;
 
-use crate::slot_guard::SlotGuard;
+use crate::{running_work::RunningWork, slot_guard::SlotGuard};
 
 /// A request that waits at the gate.
 pub(crate) struct Waiter {
     pub(crate) expected_run: Duration,
-    pub(crate) fingerprint: u64,
     pub(crate) sender: oneshot::Sender<Result<SlotGuard, RefusalReason>>,
+    pub(crate) work: RunningWork,
 }
--- a/crates/hop/src/hop_header.rs
+++ b/crates/hop/src/hop_header.rs
@@ -12,6 +12,8 @@
 pub const REFUSED: &str = "Medlarspool-Refused";
 /// Route key, repeat, rank, target latency and assumed run in milliseconds; separated by commas.
 pub const ROUTE: &str = "Medlarspool-Route";
+/// Marks a request that has arrived at a target before.
+pub const REPEAT: &str = "Medlarspool-Repeat";
 /// How many microseconds the target took.
 pub const RUN_US: &str = "Medlarspool-Run-Us";
 /// The id of the target that is to run the request.
--- a/crates/mesh/src/arrival_budget.rs
+++ b/crates/mesh/src/arrival_budget.rs
@@ -9,6 +9,9 @@
 
 /// Bounds the arrivals at targets beyond the first of each request.
 ///
+/// A target that runs a request again makes its calls again, and these count where they arrive. So
+/// the daemon beside it charges its requests with the share of repeats among the target's runs.
+///
 /// The budget is shared by all daemons without any message: each spends its share of the slack, by
 /// the size of the fleet that it sees, and the ratio on the requests that it took in itself.
 #[derive(Debug)]
@@ -21,6 +24,7 @@
 
 #[derive(Debug, Default)]
 struct Window {
+    debt: f64,
     repeats: VecDeque<Instant>,
     requests: VecDeque<Instant>,
 }
@@ -45,6 +49,18 @@
         counted.requests.push_back(now);
     }
 
+    /// Counts a part of a repeat that others caused: a call of a target that may run a request again.
+    pub fn charge(&mut self, now: Instant, service: &Rc<str>, part: f64) {
+        let window = self.window;
+        let counted = self.services.entry(service.clone()).or_default();
+        forget(&mut counted.repeats, now, window);
+        counted.debt += part;
+        if counted.debt >= 1.0 {
+            counted.debt -= 1.0;
+            counted.repeats.push_back(now);
+        }
+    }
+
     /// Takes one repeat out of the budget; returns whether there was one left.
     #[allow(clippy::cast_precision_loss)]
     pub fn take(&mut self, now: Instant, service: &Rc<str>, daemons: usize) -> bool {
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -18,7 +18,7 @@
 const ZONE_HOP: Duration = Duration::from_millis(4);
 
 /// The share of the target latency that a run that fails costs, since it has to be made again.
-const FAILURE_COST: f64 = 1.0;
+const FAILURE_COST: f64 = 0.3;
 
 /// The other daemons by address, and the choice among their targets.
 #[derive(Debug)]
