Serve on at the gate in a planned stop, and end waits at the gate with patience

And a request that more urgent or timelier ones overtook stayed in the queue until its deadline.

Change: the gate takes work until 1.9 s after the signal; a restarted daemon probes after 50 ms instead of 200 ms; a planned stop keeps 0.8 s of its time for the end of the process, since one was killed at the end of its time.

--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -43,6 +43,11 @@
         text.parse().map(Some).map_err(refused)
     }
 
+    /// Returns the arguments that are no options.
+    pub(crate) fn all_operands(&self) -> &[String] {
+        &self.0.free
+    }
+
     /// Returns the arguments that are no options; there must be exactly as many.
     pub(crate) fn operands<const N: usize>(&self) -> Result<[&str; N], CommandError> {
         let operands: Vec<&str> = self.0.free.iter().map(String::as_str).collect();
--- /dev/null
+++ b/crates/command/src/explain.rs
@@ -0,0 +1,106 @@
+use getopts::Options;
+use serde_json::Value;
+
+use crate::{
+    CommandError, Console,
+    arguments::{Arguments, read_file},
+    log_line::LogLine,
+};
+
+pub(crate) fn add_options(_: &mut Options) {}
+
+/// Puts the lines of one request from several daemons' logs in order and says what happened.
+pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<(), CommandError> {
+    let operands = arguments.all_operands();
+    let Some((id, paths)) = operands
+        .split_first()
+        .filter(|(_, paths)| !paths.is_empty())
+    else {
+        return Err(CommandError::Usage(
+            "a request's id and the files of logs are needed".into(),
+        ));
+    };
+    let mut lines = Vec::new();
+    for path in paths {
+        let text = read_file(path)?;
+        let of_request = text
+            .lines()
+            .filter(|line| line.contains(id.as_str()))
+            .filter_map(|line| LogLine::parse(path, line))
+            .filter(|line| line.is_about(id));
+        lines.extend(of_request);
+    }
+    lines.sort_by_key(|line| line.at_ms);
+    let sentence = explain(&lines);
+    if arguments.json() {
+        let fields: Vec<&Value> = lines.iter().map(|line| &line.fields).collect();
+        let explained = serde_json::json!({ "lines": fields, "explanation": sentence });
+        writeln!(console.output, "{explained}")?;
+        return Ok(());
+    }
+    for line in &lines {
+        writeln!(console.output, "{line}")?;
+    }
+    writeln!(console.output, "{sentence}")?;
+    Ok(())
+}
+
+/// Says in a sentence what happened, from the last word of the daemon that took the request.
+fn explain(lines: &[LogLine]) -> String {
+    let Some(last) = lines.iter().rev().find(|line| line.ends_request()) else {
+        return match lines.last() {
+            None => "No line is about this request: it was answered at the first try, or its \
+                     lines were dropped (see `dropped` in the logs)."
+                .into(),
+            Some(last) => format!(
+                "The request was tried again or turned away once ({}), and then answered.",
+                last.event()
+            ),
+        };
+    };
+    let service = last.text("service").unwrap_or("its service");
+    let run = lines.iter().rev().find(|line| line.event() == "run-lost");
+    match (last.event(), last.text("reason").unwrap_or_default()) {
+        ("client-left", _) => {
+            "The client left before it was answered; what could be cancelled was.".into()
+        }
+        (_, "attempts-used-up" | "no-budget") => format!(
+            "Targets of {service} failed it, and the attempts or the retry budget were used up."
+        ),
+        (_, "busy") => format!(
+            "It did not run: all targets of {service} that could be tried had longer queues than \
+             the request could wait."
+        ),
+        (_, "deadline") => {
+            format!("Its time was over before a target of {service} answered; it may have run.")
+        }
+        (_, "hop-lost") => "The connection to the daemon beside the target was lost, and that \
+                            daemon could not tell what became of the request; it may have run."
+            .into(),
+        (_, "moved") => format!(
+            "It did not run: the targets of {service} that were chosen had left or gone down."
+        ),
+        (_, "no-config") => "It did not run: the daemon knew no configuration yet.".into(),
+        (_, "no-route") => format!(
+            "It did not run: no route of the configuration in force (version {}) has its host \
+             and path.",
+            last.number("config_version").unwrap_or_default()
+        ),
+        (_, "no-target") => format!("It did not run: no target of {service} was known to live."),
+        (_, "quarantined") => {
+            "It did not run: the same request crashed targets before, twice.".into()
+        }
+        (_, "target-failed") => match run.and_then(|line| line.text("error")) {
+            Some(error) => format!(
+                "Its target in {service} got it and gave no whole answer ({error}); it may have run."
+            ),
+            None => {
+                format!("Its target in {service} got it and gave no whole answer; it may have run.")
+            }
+        },
+        (_, "target-refused") => {
+            format!("It did not run: the targets of {service} that got it turned it away.")
+        }
+        (event, reason) => format!("It ended with {event} {reason}."),
+    }
+}
--- /dev/null
+++ b/crates/command/src/log_line.rs
@@ -0,0 +1,65 @@
+use std::fmt::{Display, Formatter};
+
+use serde_json::Value;
+
+/// One line of a daemon's log.
+pub(crate) struct LogLine {
+    pub(crate) at_ms: u64,
+    pub(crate) fields: Value,
+    /// The file, and what stands before the line's object.
+    source: String,
+}
+
+impl LogLine {
+    /// Reads a line; what stands before its object, such as a collector's prefix, names its source.
+    pub(crate) fn parse(path: &str, line: &str) -> Option<Self> {
+        let start = line.find('{')?;
+        let fields: Value = serde_json::from_str(&line[start..]).ok()?;
+        let prefix = line[..start].trim();
+        let source = if prefix.is_empty() { path } else { prefix };
+        Some(Self {
+            at_ms: fields.get("at_ms")?.as_u64()?,
+            fields,
+            source: source.into(),
+        })
+    }
+
+    pub(crate) fn is_about(&self, id: &str) -> bool {
+        self.text("id") == Some(id)
+    }
+
+    pub(crate) fn event(&self) -> &str {
+        self.text("event").unwrap_or("-")
+    }
+
+    /// Returns whether the line tells how the request ended for its client.
+    pub(crate) fn ends_request(&self) -> bool {
+        matches!(self.event(), "client-left" | "refused")
+    }
+
+    pub(crate) fn text(&self, key: &str) -> Option<&str> {
+        self.fields.get(key)?.as_str()
+    }
+
+    pub(crate) fn number(&self, key: &str) -> Option<u64> {
+        self.fields.get(key)?.as_u64()
+    }
+}
+
+impl Display for LogLine {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} {} {}", self.at_ms, self.source, self.event())?;
+        let Some(fields) = self.fields.as_object() else {
+            return Ok(());
+        };
+        for (key, value) in fields {
+            if !matches!(key.as_str(), "at_ms" | "event" | "id" | "level") {
+                match value.as_str() {
+                    Some(text) => write!(formatter, " {key}={text}")?,
+                    None => write!(formatter, " {key}={value}")?,
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/command/src/subcommand.rs
+++ b/crates/command/src/subcommand.rs
@@ -1,8 +1,8 @@
 use getopts::Options;
 
 use crate::{
-    CommandError, Console, arguments::Arguments, check, credential, dump, edit, get, history, put,
-    restore, status, submit,
+    CommandError, Console, arguments::Arguments, check, credential, dump, edit, explain, get,
+    history, put, restore, status, submit,
 };
 
 /// What the command can be asked to do.
@@ -12,6 +12,7 @@
     Credential,
     Dump,
     Edit,
+    Explain,
     Get,
     History,
     Put,
@@ -20,11 +21,12 @@
 }
 
 impl Subcommand {
-    pub(crate) const ALL: [Self; 9] = [
+    pub(crate) const ALL: [Self; 10] = [
         Self::Check,
         Self::Credential,
         Self::Dump,
         Self::Edit,
+        Self::Explain,
         Self::Get,
         Self::History,
         Self::Put,
@@ -42,6 +44,7 @@
             Self::Credential => "credential",
             Self::Dump => "dump",
             Self::Edit => "edit",
+            Self::Explain => "explain",
             Self::Get => "get",
             Self::History => "history",
             Self::Put => "put",
@@ -56,6 +59,7 @@
             Self::Credential => "hash a credential from standard input for the customers' list",
             Self::Dump => "print the state that a daemon keeps",
             Self::Edit => "change or remove one customer, plan or service",
+            Self::Explain => "say from daemons' logs what became of a request",
             Self::Get => "fetch the two lists of the newest or an older version",
             Self::History => "list the accepted changes, or say what became of one",
             Self::Put => "make the two lists the newest version",
@@ -68,6 +72,7 @@
     fn operands(self) -> &'static str {
         match self {
             Self::Edit => " customer|plan|service ID",
+            Self::Explain => " REQUEST_ID LOG...",
             Self::Restore => " VERSION",
             _ => "",
         }
@@ -82,6 +87,7 @@
             Self::Credential => {}
             Self::Dump => dump::add_options(&mut options),
             Self::Edit => edit::add_options(&mut options),
+            Self::Explain => explain::add_options(&mut options),
             Self::Get => get::add_options(&mut options),
             Self::History => history::add_options(&mut options),
             Self::Put => put::add_options(&mut options),
@@ -111,6 +117,7 @@
             Self::Edit => {
                 edit::run(arguments, console).map_err(|error| submit::explain(arguments, error))
             }
+            Self::Explain => explain::run(arguments, console),
             Self::Get => get::run(arguments, console),
             Self::History => history::run(arguments, console),
             Self::Put => {
--- /dev/null
+++ b/crates/command/tests/explain.rs
@@ -0,0 +1,60 @@
+//! What `explain` says of a request, by lines as the daemons write them.
+
+use std::io::Write;
+
+use medlarspool::{Console, run};
+use medlarspool_types::SystemClock;
+use rstest::rstest;
+
+fn explain(lines: &[&str]) -> String {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    for line in lines {
+        writeln!(file, "{line}").unwrap();
+    }
+    let path = file.path().to_str().unwrap().to_owned();
+    let mut output = Vec::new();
+    let mut input: &[u8] = &[];
+    let mut console = Console {
+        clock: &SystemClock,
+        input: &mut input,
+        output: &mut output,
+    };
+    run(&["explain".into(), "abc".into(), path], &mut console).unwrap();
+    String::from_utf8(output).unwrap()
+}
+
+#[rstest]
+#[case::busy("busy", "longer queues")]
+#[case::deadline("deadline", "time was over")]
+#[case::hop_lost("hop-lost", "could not tell")]
+#[case::moved("moved", "had left or gone down")]
+#[case::no_config("no-config", "no configuration yet")]
+#[case::no_route("no-route", "no route")]
+#[case::no_target("no-target", "known to live")]
+#[case::quarantined("quarantined", "crashed targets before")]
+#[case::target_failed("target-failed", "no whole answer")]
+#[case::target_refused("target-refused", "turned it away")]
+fn each_reason_has_its_sentence(#[case] reason: &str, #[case] part: &str) {
+    let line =
+        format!(r#"{{"at_ms":5,"event":"refused","id":"abc","reason":"{reason}","service":"s"}}"#);
+    assert!(explain(&[&line]).contains(part));
+}
+
+#[test]
+fn lines_of_several_daemons_are_put_in_order() {
+    let said = explain(&[
+        r#"  9.2 sidecar-b {"at_ms":9,"event":"refused","id":"abc","reason":"target-failed","service":"s"}"#,
+        r#"  8.1 sidecar-a {"at_ms":8,"event":"run-lost","id":"abc","error":"the connection was lost"}"#,
+        r#"  8.1 sidecar-a {"at_ms":8,"event":"run-lost","id":"other","error":"another"}"#,
+        "not a line of a daemon about abc",
+    ]);
+    let lines: Vec<&str> = said.lines().collect();
+    assert_eq!(lines.len(), 3, "{said}");
+    assert!(lines[0].contains("run-lost") && lines[1].contains("refused"));
+    assert!(lines[2].contains("the connection was lost"));
+}
+
+#[test]
+fn a_request_without_lines_was_answered_at_once() {
+    assert!(explain(&["{}"]).contains("answered at the first try"));
+}
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use medlarspool_hop::RefusalReason;
 use tokio::sync::oneshot;
@@ -14,6 +14,8 @@
     Started(SlotGuard),
     Waiting {
         granted: oneshot::Receiver<Result<SlotGuard, RefusalReason>>,
+        /// When the request stops waiting.
+        latest: Instant,
         ticket: u64,
     },
 }
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -15,6 +15,8 @@
     pub(crate) core: Core,
     /// The moments of work that a planned stop waits for.
     pub(crate) in_flight: Cell<usize>,
+    /// Whether the gate takes no more work, at the end of a planned stop.
+    pub(crate) leaving: Cell<bool>,
     pub(crate) limits: Cell<MessageLimits>,
     pub(crate) metrics: Metrics,
     pub(crate) peer_pool: ConnectionPool,
@@ -27,6 +29,7 @@
     pub(crate) rows_read: Notify,
     pub(crate) runs: RunTable,
     pub(crate) settings: SiteSettings,
+    /// Whether clients are sent elsewhere, from the beginning of a planned stop.
     pub(crate) stopping: Cell<bool>,
     pub(crate) store: StoreClient,
     pub(crate) target_pool: ConnectionPool,
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -28,9 +28,6 @@
 /// The part of the time left for which a request waits for a target to be known at all.
 const WAIT_FOR_TARGET_SHARE: f64 = 0.3;
 
-/// The part of the time between the target latency and the deadline for which a request may wait.
-const LATE_SHARE: f64 = 0.1;
-
 /// How many gates may turn a request away for a better one before it is refused.
 const MAX_TURNS: usize = 4;
 
@@ -63,8 +60,10 @@
             .with(|node, cx| node.count_request(cx.now(), &self.service));
         let mut tries = Tries::default();
         let latest = self.deadline + ANSWER_GRACE;
+        let unanswered = Unanswered(self);
         let ended = timeout_at(latest.into(), self.try_targets(app, &mut tries)).await;
         let ended = ended.unwrap_or_else(|_| Err(Failure::may_have_run(RefusalReason::Deadline)));
+        unanswered.disarm();
         let took = self.arrived.elapsed();
         match ended {
             Ok(reply) => {
@@ -226,10 +225,8 @@
             let peer = node.directory.peer(choice.address);
             peer.map_or(assumed, |peer| peer.expected_run(self.route.key, assumed))
         });
-        let aim_left = self.route.target_latency.saturating_sub(waited);
-        let late = left.saturating_sub(aim_left);
-        let longest = aim_left.max(run) + late.mul_f64(LATE_SHARE);
-        let most = longest.min(left).saturating_sub(run);
+        let route = HopRoute::of(&self.route, waited);
+        let most = route.longest_wait(left, run);
         let patience = match choice.patience {
             Some(patience) if tries.turns < MAX_TURNS => patience.min(most),
             _ => most,
@@ -239,7 +236,7 @@
             forwarded: self.forwarded.clone(),
             is_repeat: tries.arrivals > 0,
             patience,
-            route: HopRoute::of(&self.route, waited),
+            route,
             target: choice.target.clone(),
         }
     }
@@ -295,3 +292,19 @@
         });
     }
 }
+
+/// Tells in the log that a client left before its request was answered.
+struct Unanswered<'a>(&'a EntryCall);
+
+impl Unanswered<'_> {
+    fn disarm(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        let call = self.0;
+        log::info!(event = "client-left", id = call.forwarded.id_text(), service = &*call.service, after_us = micros(call.arrived.elapsed()); "");
+    }
+}
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -108,20 +108,20 @@
     let refuse = |reason| Err(reply(app, RunEnd::NotRun(reason)));
     match app.core.with(|node, _| node.admit(app, call)) {
         Admission::Refused { reason, wait } => {
-            log::debug!(event = "gate-refused", id = call.forwarded.id_text(), reason = reason.as_str(), wait_us = micros(wait); "");
+            log::info!(event = "gate-refused", id = call.forwarded.id_text(), reason = reason.as_str(), wait_us = micros(wait); "");
             refuse(reason)
         }
         Admission::Started(slot) => Ok(slot),
-        Admission::Waiting { granted, ticket } => {
+        Admission::Waiting {
+            granted,
+            latest,
+            ticket,
+        } => {
             let place = TicketGuard {
                 app: app.clone(),
                 ticket,
             };
-            let expected = app
-                .core
-                .with(|node, _| node.expected_run(call.route.key, call.route.assumed_run));
-            let last_start = call.deadline.checked_sub(expected).unwrap_or(arrived);
-            let granted = timeout_at(last_start.into(), granted).await;
+            let granted = timeout_at(latest.into(), granted).await;
             drop(place);
             app.metrics
                 .gate_wait
--- a/crates/edge/src/hop_route.rs
+++ b/crates/edge/src/hop_route.rs
@@ -2,6 +2,9 @@
 
 use medlarspool_mesh::{Repeat, Route, RouteKey};
 
+/// The part of the time between the target latency and the deadline for which a request may wait.
+const LATE_SHARE: f64 = 0.1;
+
 /// What a gate has to know of a request's route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct HopRoute {
@@ -24,6 +27,16 @@
         }
     }
 
+    /// Returns how long a request may wait for a run that takes `run`, with `left` until its deadline.
+    ///
+    /// The wait ends soon after the target latency: a longer one makes others late too, and is in vain
+    /// where work that can be in time goes first.
+    pub(crate) fn longest_wait(&self, left: Duration, run: Duration) -> Duration {
+        let late = left.saturating_sub(self.target_latency);
+        let longest = self.target_latency.max(run) + late.mul_f64(LATE_SHARE);
+        longest.min(left).saturating_sub(run)
+    }
+
     pub(crate) fn encode(&self) -> String {
         format!(
             "{:x},{},{},{},{}",
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -57,8 +57,14 @@
         });
         let connection = ServerConnection::new(stream, handler.clone(), options);
         let stopping_app = app.clone();
-        tokio::task::spawn_local(async move {
-            connection.serve(|| stopping_app.stopping.get()).await;
-        });
+        let is_peer = interim_after.is_some();
+        let stopping = move || {
+            if is_peer {
+                stopping_app.leaving.get()
+            } else {
+                stopping_app.stopping.get()
+            }
+        };
+        tokio::task::spawn_local(connection.serve(stopping));
     }
 }
--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -22,9 +22,6 @@
 /// Connections that break within this time belong to the same crash.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 
-/// The part of the usual run time that a request must still have for a start to make sense.
-const LAST_START_SHARE: f64 = 0.8;
-
 impl Node {
     /// Takes in an announcement of the target; returns whether it is acknowledged.
     pub(crate) fn announce(&mut self, cx: CX![], heard: &Announcement) -> bool {
@@ -86,13 +83,11 @@
         let expected_run = self
             .run_times
             .expected(call.route.key, call.route.assumed_run);
+        let left = call.deadline.saturating_duration_since(now);
         let work = WaitingWork {
             aim_start: now + call.route.target_latency.saturating_sub(expected_run),
             expected_run,
-            last_start: call
-                .deadline
-                .checked_sub(expected_run.mul_f64(LAST_START_SHARE))
-                .unwrap_or(now),
+            last_start: now + call.route.longest_wait(left, expected_run),
             rank: call.route.rank,
         };
         match self.queue.offer(now, work, call.patience) {
@@ -108,7 +103,11 @@
                     work: RunningWork::of(call),
                 };
                 self.waiters.insert(ticket, waiter);
-                Admission::Waiting { granted, ticket }
+                Admission::Waiting {
+                    granted,
+                    latest: work.last_start,
+                    ticket,
+                }
             }
         }
     }
@@ -121,11 +120,6 @@
         SlotGuard::new(app.clone(), run, expected_run)
     }
 
-    /// Returns how long a run of the route is expected to take here.
-    pub(crate) fn expected_run(&self, route: RouteKey, assumed: Duration) -> Duration {
-        self.run_times.expected(route, assumed)
-    }
-
     /// Takes a slot back and gives it to the next request.
     pub(crate) fn end_run(&mut self, run: u64, expected_run: Duration) {
         self.running.remove(&run);
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -10,19 +10,19 @@
 };
 
 /// How long a daemon that was started again waits for a heartbeat before it probes its target.
-const HEARTBEAT_FIRST: Duration = Duration::from_millis(200);
+const HEARTBEAT_FIRST: Duration = Duration::from_millis(50);
 
 /// The longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How often the configuration, which names the path to probe, is looked for.
-const CONFIG_CHECK: Duration = Duration::from_millis(100);
+const CONFIG_CHECK: Duration = Duration::from_millis(50);
 
 /// How often that is at most; after that a heartbeat must have come.
-const CONFIG_CHECKS: usize = 20;
+const CONFIG_CHECKS: usize = 40;
 
 /// How often what is remembered of the target is looked for before the probe alone decides.
-const MEMORY_CHECKS: usize = 20;
+const MEMORY_CHECKS: usize = 40;
 
 /// Finds the target of an earlier life of this daemon by one probe, unless it is heard before.
 pub(crate) async fn probe_target(app: Rc<App>) {
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -54,8 +54,12 @@
 /// daemon is ready, and stops sending clients after two misses.
 const STOP_LINGER: Duration = Duration::from_millis(2_300);
 
+/// How long the gate goes on taking work in a planned stop: its target is out of reach afterwards, so
+/// it stops only when what runs there can just end with the linger.
+const GATE_LINGER: Duration = Duration::from_millis(1_900);
+
 /// How much of the time for a planned stop is left over for the end of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
+const STOP_MARGIN: Duration = Duration::from_millis(800);
 
 /// How often a planned stop looks whether all is done.
 const STOP_CHECK: Duration = Duration::from_millis(50);
@@ -140,6 +144,7 @@
         config_behind: Notify::new(),
         core: Core::new(node),
         in_flight: Cell::new(0),
+        leaving: Cell::new(false),
         limits: Cell::new(MessageLimits::default()),
         metrics,
         peer_pool: ConnectionPool::new(PEER_IDLE, PEER_KEPT),
@@ -221,6 +226,8 @@
     let begun = Instant::now();
     log::info!(event = "stop", in_flight = app.in_flight.get(); "");
     app.stopping.set(true);
+    sleep(GATE_LINGER).await;
+    app.leaving.set(true);
     let leaves = app.core.with(|node, cx| {
         node.serving = false;
         node.tell_soon(cx);
--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -11,7 +11,7 @@
 /// one that has to start first before the others; then the late ones. A request is refused when it
 /// comes, not after a wait, where the work ahead of it already takes longer than it can wait: a longer
 /// queue serves nobody more, it only makes all of them late.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct GateQueue {
     next_ticket: u64,
     running: u32,
--- /dev/null
+++ b/crates/mesh/tests/load/mod.rs
@@ -0,0 +1,403 @@
+//! A counted fleet without a network: clients, entries, gates and targets on a clock that is moved.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use medlarspool_mesh::{
+    AnnouncedState, Directory, GateQueue, Offer, PeerRecord, RouteKey, TargetLoad, TargetQuery,
+    TargetRecord, WaitingWork,
+};
+
+/// How often gates report their load.
+const REPORT: Duration = Duration::from_millis(500);
+
+/// One way between instances.
+const HOP: Duration = Duration::from_millis(1);
+
+/// How targets are chosen and how long requests may wait.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Policy {
+    /// The product's: by expected answer, with short queues.
+    Product,
+    /// The old one, as a baseline: in turn, first come first served, until the deadline.
+    InTurn,
+}
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub deadline: Duration,
+    pub per_s: f64,
+    pub rank: u32,
+    pub target_latency: Duration,
+    pub work: Duration,
+}
+
+/// A fleet and its load.
+#[derive(Clone, Debug)]
+pub struct Scene {
+    /// Requests come so many times as often from the first to the second moment.
+    pub burst: Option<(Duration, Duration, f64)>,
+    pub entries: usize,
+    pub kinds: Vec<Kind>,
+    pub length: Duration,
+    /// From when on the first so many targets are gone, and their daemons silent.
+    pub lost: Option<(Duration, usize)>,
+    pub slots: u32,
+    /// How many times as long as the kind says each target works.
+    pub speeds: Vec<f64>,
+}
+
+/// What became of the requests of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub longest_refused_wait: Duration,
+    pub refused: u32,
+}
+
+impl Outcome {
+    pub fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked)
+    }
+
+    pub fn share_served(&self) -> f64 {
+        f64::from(self.in_time + self.late) / f64::from(self.asked)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive(usize),
+    Expire(usize),
+    Offer(usize),
+    Report,
+    RunEnd(usize),
+}
+
+struct Request {
+    arrived: Duration,
+    entry: usize,
+    excluded: Vec<SocketAddr>,
+    kind: usize,
+    patience: Duration,
+    target: usize,
+    ticket: Option<u64>,
+}
+
+struct World {
+    arrivals: fastrand::Rng,
+    clock: Instant,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    gates: Vec<GateQueue>,
+    next_event: u64,
+    outcomes: Vec<Outcome>,
+    policy: Policy,
+    random: fastrand::Rng,
+    reports: u64,
+    requests: Vec<Request>,
+    scene: Scene,
+    tables: Vec<Directory>,
+    tickets: BTreeMap<(usize, u64), usize>,
+    turn: usize,
+}
+
+/// Plays a scene; the same seed plays the same arrivals.
+pub fn play(scene: &Scene, policy: Policy, seed: u64) -> Vec<Outcome> {
+    fastrand::seed(seed);
+    let mut world = World {
+        arrivals: fastrand::Rng::with_seed(seed),
+        clock: Instant::now(),
+        events: BinaryHeap::new(),
+        gates: vec![GateQueue::new(scene.slots); scene.speeds.len()],
+        next_event: 0,
+        outcomes: vec![Outcome::default(); scene.kinds.len()],
+        policy,
+        random: fastrand::Rng::with_seed(seed),
+        reports: 0,
+        requests: Vec::new(),
+        scene: scene.clone(),
+        tables: (0..scene.entries)
+            .map(|_| Directory::new("z".into()))
+            .collect(),
+        tickets: BTreeMap::new(),
+        turn: 0,
+    };
+    world.push(Duration::ZERO, Event::Report);
+    for kind in 0..scene.kinds.len() {
+        world.push(Duration::from_millis(10), Event::Arrive(kind));
+    }
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        world.step(at, event);
+    }
+    world.outcomes
+}
+
+fn address(target: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(target).unwrap()))
+}
+
+impl World {
+    fn push(&mut self, at: Duration, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event, event)));
+    }
+
+    fn step(&mut self, at: Duration, event: Event) {
+        match event {
+            Event::Arrive(kind) => self.arrive(at, kind),
+            Event::Expire(request) => self.expire(at, request),
+            Event::Offer(request) => self.offer(at, request),
+            Event::Report => self.report(at),
+            Event::RunEnd(request) => self.run_end(at, request),
+        }
+    }
+
+    fn is_lost(&self, at: Duration, target: usize) -> bool {
+        self.scene
+            .lost
+            .is_some_and(|(from, count)| at >= from && target < count)
+    }
+
+    fn report(&mut self, at: Duration) {
+        self.reports += 1;
+        for target in 0..self.gates.len() {
+            if self.is_lost(at, target) {
+                continue;
+            }
+            let record = PeerRecord {
+                address: address(target),
+                availability_zone: "z".into(),
+                incarnation: 1,
+                load: self.load(target),
+                report: self.reports,
+                serving: true,
+                target: Some(TargetRecord {
+                    born_ms: 1,
+                    id: format!("i-{target}").into(),
+                    sequence: 1,
+                    service: "skymap".into(),
+                    slots: self.scene.slots,
+                    state: AnnouncedState::Ready,
+                }),
+            };
+            for table in &mut self.tables {
+                table.hear(self.clock + at, record.clone());
+            }
+        }
+        if at < self.scene.length {
+            self.push(at + REPORT, Event::Report);
+        }
+    }
+
+    fn load(&self, target: usize) -> TargetLoad {
+        TargetLoad {
+            running: self.gates[target].running(),
+            waiting: u32::try_from(self.gates[target].waiting()).unwrap(),
+            ..TargetLoad::default()
+        }
+    }
+
+    fn arrive(&mut self, at: Duration, kind: usize) {
+        let entry = self.arrivals.usize(..self.scene.entries);
+        self.outcomes[kind].asked += 1;
+        self.requests.push(Request {
+            arrived: at,
+            entry,
+            excluded: Vec::new(),
+            kind,
+            patience: Duration::ZERO,
+            target: 0,
+            ticket: None,
+        });
+        self.send(at, self.requests.len() - 1);
+        let times = match self.scene.burst {
+            Some((from, to, times)) if at >= from && at < to => times,
+            _ => 1.0,
+        };
+        let gap = -self.arrivals.f64().max(1e-9).ln() / (self.scene.kinds[kind].per_s * times);
+        let next = at + Duration::from_secs_f64(gap);
+        if next < self.scene.length {
+            self.push(next, Event::Arrive(kind));
+        }
+    }
+
+    fn send(&mut self, at: Duration, request: usize) {
+        let now = self.clock + at;
+        let kind = self.scene.kinds[self.requests[request].kind];
+        let most = match self.policy {
+            Policy::Product => kind.target_latency.saturating_sub(kind.work),
+            Policy::InTurn => kind.deadline.saturating_sub(kind.work),
+        };
+        let chosen = match self.policy {
+            Policy::InTurn => {
+                self.turn += 1;
+                Some((self.turn % self.gates.len(), None))
+            }
+            Policy::Product => {
+                let query = TargetQuery {
+                    assumed_run: kind.work,
+                    excluded: &self.requests[request].excluded,
+                    route: RouteKey(u64::from(kind.rank)),
+                    service: "skymap",
+                    target_latency: kind.target_latency,
+                };
+                let table = &mut self.tables[self.requests[request].entry];
+                table.choose(now, &query).map(|choice| {
+                    if let Some(peer) = table.peer_mut(choice.address) {
+                        peer.in_flight += 1;
+                    }
+                    (usize::from(choice.address.port()) - 1_000, choice.patience)
+                })
+            }
+        };
+        let Some((target, patience)) = chosen else {
+            return self.refuse(at, request);
+        };
+        self.requests[request].target = target;
+        self.requests[request].patience = patience.map_or(most, |patience| patience.min(most));
+        self.push(at + HOP, Event::Offer(request));
+    }
+
+    fn offer(&mut self, at: Duration, request: usize) {
+        let Request {
+            arrived,
+            kind,
+            patience,
+            target,
+            ..
+        } = self.requests[request];
+        if self.is_lost(at, target) {
+            return self.turned_away(at, request);
+        }
+        let kind = self.scene.kinds[kind];
+        let now = self.clock + at;
+        let most = match self.policy {
+            Policy::Product => (arrived + kind.target_latency).saturating_sub(at + kind.work),
+            Policy::InTurn => (arrived + kind.deadline).saturating_sub(at + kind.work),
+        };
+        let aim_start = match self.policy {
+            Policy::Product => now + most,
+            Policy::InTurn => now,
+        };
+        let work = WaitingWork {
+            aim_start,
+            expected_run: kind.work.mul_f64(self.scene.speeds[target]),
+            last_start: now + most,
+            rank: kind.rank,
+        };
+        match self.gates[target].offer(now, work, patience) {
+            Offer::Refuse { .. } => self.turned_away(at, request),
+            Offer::Start => self.start(at, request),
+            Offer::Wait(ticket) => {
+                self.requests[request].ticket = Some(ticket);
+                self.tickets.insert((target, ticket), request);
+                self.push(at + most, Event::Expire(request));
+            }
+        }
+    }
+
+    fn turned_away(&mut self, at: Duration, request: usize) {
+        let target = self.requests[request].target;
+        self.answered(at, request);
+        self.requests[request].excluded.push(address(target));
+        if self.policy == Policy::InTurn || self.requests[request].excluded.len() > 4 {
+            return self.refuse(at, request);
+        }
+        self.send(at + HOP, request);
+    }
+
+    fn refuse(&mut self, at: Duration, request: usize) {
+        let outcome = &mut self.outcomes[self.requests[request].kind];
+        outcome.refused += 1;
+        let held = at.saturating_sub(self.requests[request].arrived);
+        outcome.longest_refused_wait = outcome.longest_refused_wait.max(held);
+    }
+
+    fn expire(&mut self, at: Duration, request: usize) {
+        let target = self.requests[request].target;
+        let Some(ticket) = self.requests[request].ticket else {
+            return;
+        };
+        if self.tickets.remove(&(target, ticket)).is_some() {
+            self.gates[target].cancel(ticket);
+            self.answered(at, request);
+            self.refuse(at, request);
+        }
+    }
+
+    fn start(&mut self, at: Duration, request: usize) {
+        let Request { kind, target, .. } = self.requests[request];
+        let spread = 0.7 + 0.6 * self.random.f64();
+        let run = self.scene.kinds[kind]
+            .work
+            .mul_f64(self.scene.speeds[target] * spread);
+        self.push(at + run, Event::RunEnd(request));
+    }
+
+    fn run_end(&mut self, at: Duration, request: usize) {
+        let Request {
+            arrived,
+            entry,
+            kind,
+            target,
+            ..
+        } = self.requests[request];
+        let sort = self.scene.kinds[kind];
+        let expected = sort.work.mul_f64(self.scene.speeds[target]);
+        self.gates[target].finish(expected);
+        if !self.is_lost(at, target) {
+            while let Some(ticket) = self.gates[target].next(self.clock + at) {
+                if let Some(next) = self.tickets.remove(&(target, ticket)) {
+                    self.start(at, next);
+                }
+            }
+        }
+        self.answered(at, request);
+        if let Some(peer) = self.tables[entry].peer_mut(address(target)) {
+            peer.take_run(RouteKey(u64::from(sort.rank)), expected, sort.work);
+        }
+        let took = (at + HOP).saturating_sub(arrived);
+        let outcome = &mut self.outcomes[kind];
+        if took <= sort.target_latency {
+            outcome.in_time += 1;
+        } else if took <= sort.deadline {
+            outcome.late += 1;
+        } else {
+            outcome.refused += 1;
+        }
+    }
+
+    /// Takes in at the entry what an answer tells of the gate's load.
+    fn answered(&mut self, at: Duration, request: usize) {
+        let Request { entry, target, .. } = self.requests[request];
+        let load = self.load(target);
+        if let Some(peer) = self.tables[entry].peer_mut(address(target)) {
+            peer.in_flight = peer.in_flight.saturating_sub(1);
+            peer.take_load(self.clock + at, load);
+        }
+    }
+}
+
+/// A kind of request like the map reads of the smaller deployment.
+pub fn map_read(per_s: f64) -> Kind {
+    Kind {
+        deadline: Duration::from_millis(800),
+        per_s,
+        rank: 2,
+        target_latency: Duration::from_millis(200),
+        work: Duration::from_millis(60),
+    }
+}
+
+/// Returns the requests a second that targets of these speeds can serve.
+pub fn capacity(slots: u32, speeds: &[f64], work: Duration) -> f64 {
+    let per_slot: f64 = speeds.iter().map(|speed| 1.0 / speed).sum();
+    per_slot * f64::from(slots) / work.as_secs_f64()
+}
