Make no hop to a gate that is expected to refuse, after one that did

Cause: a refused request asked up to five gates in turn; under overload these hops were most of the bytes between zones.

Change: after a first refusal a request goes only where the load that the gate last told leaves room for it.

--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -90,12 +90,16 @@
                 return Err(self.give_up(tries, RefusalReason::Deadline));
             }
             let choice = self.choose(app, tries).await?;
-            let call = self.gate_call(app, tries, &choice);
-            let long_body = self.forwarded.rest.borrow().is_some();
             let hop = InFlight {
                 address: choice.address,
                 app,
             };
+            let call = self.gate_call(app, tries, &choice);
+            if tries.last_reason == Some(RefusalReason::Busy) && choice.wait > call.patience {
+                // The gates told their load moments ago: another hop would be in vain.
+                return Err(self.give_up(tries, RefusalReason::Busy));
+            }
+            let long_body = self.forwarded.rest.borrow().is_some();
             let reply = hand_on(app, choice.address, call).await;
             drop(hop);
             self.learn(app, &choice, &reply);
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -120,7 +120,7 @@
             address: record.address,
             target: target.id.clone(),
             patience: second.map(|second| second.saturating_sub(cost) + wait + ZONE_HOP * 2),
-            expected: cost,
+            wait,
         })
     }
 
--- a/crates/mesh/src/target_choice.rs
+++ b/crates/mesh/src/target_choice.rs
@@ -9,6 +9,6 @@
     pub target: Rc<str>,
     /// How long the request may wait there before another target is the better choice.
     pub patience: Option<Duration>,
-    /// How long an answer is expected to take.
-    pub expected: Duration,
+    /// How long the request is expected to wait at the gate.
+    pub wait: Duration,
 }
