Refuse at the entry what all gates would refuse, rank by rank

Cause: the first hop of a request that no gate has room for is in vain as well.

Change: no hop where the load that the gates last told leaves no room. Gates tell how many wait up to each rank, so that an urgent request isn't refused for less urgent ones ahead of it. A hop between zones costs 0.25 of the target latency.

--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -33,7 +33,9 @@
             .set(i64::try_from(alive).unwrap_or(i64::MAX));
         let load = node.load();
         app.metrics.target_running.set(load.running.into());
-        app.metrics.target_waiting.set(load.waiting.into());
+        app.metrics
+            .target_waiting
+            .set(load.waiting(u32::MAX).into());
     });
     app.metrics
         .log_lines_dropped
@@ -58,7 +60,7 @@
                     "service": record.target.as_ref().map(|target| target.service.to_string()),
                     "silent_ms": peer.silent_for(now).map(millis),
                     "target": record.target.as_ref().map(|target| target.id.to_string()),
-                    "waiting": record.load.waiting,
+                    "waiting": record.load.waiting(u32::MAX),
                 })
             })
             .collect();
@@ -77,7 +79,7 @@
                 "slots": target.slots,
                 "state": target.state.to_string(),
                 "usable": node.own.usable().is_some(),
-                "waiting": load.waiting,
+                "waiting": load.waiting(u32::MAX),
             })),
         })
         .to_string()
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -95,8 +95,8 @@
                 app,
             };
             let call = self.gate_call(app, tries, &choice);
-            if tries.last_reason == Some(RefusalReason::Busy) && choice.wait > call.patience {
-                // The gates told their load moments ago: another hop would be in vain.
+            if choice.wait > call.patience {
+                // By the load that the gates told lately, all would refuse: spare the hop.
                 return Err(self.give_up(tries, RefusalReason::Busy));
             }
             let long_body = self.forwarded.rest.borrow().is_some();
@@ -202,6 +202,7 @@
             let query = TargetQuery {
                 assumed_run: self.route.assumed_run(),
                 excluded: &tries.excluded,
+                rank: self.route.rank,
                 route: self.route.key,
                 service: &self.service,
                 target_latency: self.route.target_latency,
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -211,19 +211,9 @@
 }
 
 pub(crate) fn encode_load(load: TargetLoad) -> String {
-    format!(
-        "{},{},{},{}",
-        load.running, load.waiting, load.wait_us, load.failing_of_256
-    )
+    load.to_numbers().map(|number| number.to_string()).join(",")
 }
 
 fn decode_load(text: &str) -> TargetLoad {
-    let mut parts = text.split(',').map(|part| part.parse().unwrap_or_default());
-    let mut next = || parts.next().unwrap_or_default();
-    TargetLoad {
-        running: next(),
-        waiting: next(),
-        wait_us: next(),
-        failing_of_256: next(),
-    }
+    TargetLoad::from_numbers(text.split(',').map(|part| part.parse().unwrap_or_default()))
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -160,7 +160,7 @@
             failing_of_256,
             running: self.queue.running(),
             wait_us: u32::try_from(wait.as_micros()).unwrap_or(u32::MAX),
-            waiting: u32::try_from(self.queue.waiting()).unwrap_or(u32::MAX),
+            waiting_up_to: TargetLoad::count_waiting(|rank| self.queue.waiting(rank)),
         }
     }
 
--- a/crates/hop/src/hop_header.rs
+++ b/crates/hop/src/hop_header.rs
@@ -4,7 +4,7 @@
 pub const ATTACH: &str = "Medlarspool-Attach";
 /// Fingerprint of the request, in hexadecimal digits.
 pub const FINGERPRINT: &str = "Medlarspool-Fingerprint";
-/// Running, waiting, wait in microseconds, and failing of 256; separated by commas.
+/// The numbers of a target's load, separated by commas.
 pub const LOAD: &str = "Medlarspool-Load";
 /// How many milliseconds the request may wait at the gate.
 pub const PATIENCE_MS: &str = "Medlarspool-Patience-Ms";
--- a/crates/hop/src/report.rs
+++ b/crates/hop/src/report.rs
@@ -45,12 +45,7 @@
             heard_report: self.heard_report,
             incarnation: self.sender.incarnation,
             known: self.known.iter().map(ToString::to_string).collect(),
-            load: vec![
-                load.running,
-                load.waiting,
-                load.wait_us,
-                load.failing_of_256,
-            ],
+            load: load.to_numbers().into(),
             report: self.sender.report,
             serving: self.sender.serving,
             target: self.sender.target.as_ref().map(encode_target),
@@ -67,7 +62,6 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, ReportError> {
         let message = ReportMessage::decode(bytes)
             .map_err(|error| ReportError::Encoding(error.to_string()))?;
-        let load = |index: usize| message.load.get(index).copied().unwrap_or_default();
         Ok(Self {
             answer: message.answer,
             config_version: message.config_version,
@@ -86,12 +80,7 @@
                 address: address(&message.address)?,
                 availability_zone: message.availability_zone.as_str().into(),
                 incarnation: message.incarnation,
-                load: TargetLoad {
-                    failing_of_256: load(3),
-                    running: load(0),
-                    wait_us: load(2),
-                    waiting: load(1),
-                },
+                load: TargetLoad::from_numbers(message.load.iter().copied()),
                 report: message.report,
                 serving: message.serving,
                 target: message.target.as_ref().map(decode_target).transpose()?,
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -9,7 +9,7 @@
 
 /// What a hop into another availability zone costs beside its time, as a share of the target latency:
 /// bytes between zones are dear, and an answer within the target latency needn't be the fastest.
-const ZONE_COST: f64 = 0.15;
+const ZONE_COST: f64 = 0.25;
 
 /// A hop there and back within an availability zone.
 const HOP: Duration = Duration::from_millis(1);
@@ -133,7 +133,7 @@
             return None;
         }
         let run = peer.expected_run(query.route, query.assumed_run);
-        let wait = peer.expected_wait(now, run);
+        let wait = peer.expected_wait(now, query.rank, run);
         let hop = if record.availability_zone == self.availability_zone {
             HOP
         } else {
--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -136,10 +136,11 @@
         self.running
     }
 
-    /// Returns the number of requests that wait.
+    /// Returns the number of requests that wait and are as urgent as this rank or more.
     #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
+    pub fn waiting(&self, rank: u32) -> usize {
+        let is_as_urgent = |(_, work): &&(u64, WaitingWork)| work.rank <= rank;
+        self.waiting.iter().filter(is_as_urgent).count()
     }
 
     fn start(&mut self, work: &WaitingWork) {
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -109,11 +109,11 @@
         f64::from(self.load.failing_of_256) / 256.0
     }
 
-    /// Returns how long a request sent now would wait at the gate.
+    /// Returns how long a request of this rank sent now would wait at the gate.
     ///
     /// Hops of this daemon since the report are added to what the gate counted.
     #[must_use]
-    pub fn expected_wait(&self, now: Instant, expected_run: Duration) -> Duration {
+    pub fn expected_wait(&self, now: Instant, rank: u32, expected_run: Duration) -> Duration {
         let slots = self
             .record
             .target
@@ -125,7 +125,7 @@
             .is_some_and(|at| now.saturating_duration_since(at) < LOAD_FRESH);
         let counted = if fresh {
             let since = i64::from(self.in_flight) - i64::from(self.in_flight_at_report);
-            i64::from(self.load.running + self.load.waiting) + since
+            i64::from(self.load.running + self.load.waiting(rank)) + since
         } else {
             0
         };
--- a/crates/mesh/src/target_query.rs
+++ b/crates/mesh/src/target_query.rs
@@ -9,6 +9,8 @@
     pub assumed_run: Duration,
     /// The daemons that were tried already.
     pub excluded: &'a [SocketAddr],
+    /// The rank of the request.
+    pub rank: u32,
     /// The route of the request.
     pub route: RouteKey,
     /// The service of the target.
--- a/crates/mesh/tests/load/mod.rs
+++ b/crates/mesh/tests/load/mod.rs
@@ -199,7 +199,7 @@
     fn load(&self, target: usize) -> TargetLoad {
         TargetLoad {
             running: self.gates[target].running(),
-            waiting: u32::try_from(self.gates[target].waiting()).unwrap(),
+            waiting_up_to: TargetLoad::count_waiting(|rank| self.gates[target].waiting(rank)),
             ..TargetLoad::default()
         }
     }
@@ -244,6 +244,7 @@
                 let query = TargetQuery {
                     assumed_run: kind.work,
                     excluded: &self.requests[request].excluded,
+                    rank: kind.rank,
                     route: RouteKey(u64::from(kind.rank)),
                     service: "skymap",
                     target_latency: kind.target_latency,
