Say from the logs why a request failed

A safe request whose repeat found no room ended with 502 although its first target had answered.

Change: a target's failure that is passed on has a line; refusals tell deadline left, targets known and version; medlarspool explain says whether an earlier try may have run. A target's failure is passed on if no other try does better.

--- a/crates/command/src/explain.rs
+++ b/crates/command/src/explain.rs
@@ -58,9 +58,28 @@
             ),
         };
     };
+    let sentence = explain_end(lines, last);
+    let reached = last.number("arrivals").unwrap_or_default() > 0;
+    if reached && sentence.starts_with("It did not run") && !is_truly_not_run(last) {
+        return format!(
+            "An earlier try reached a target and may have run; of the last one: {sentence}"
+        );
+    }
+    sentence
+}
+
+fn is_truly_not_run(last: &LogLine) -> bool {
+    last.text("verdict") == Some("not-run")
+}
+
+fn explain_end(lines: &[LogLine], last: &LogLine) -> String {
     let service = last.text("service").unwrap_or("its service");
     let run = lines.iter().rev().find(|line| line.event() == "run-lost");
     match (last.event(), last.text("reason").unwrap_or_default()) {
+        ("target-error", _) => format!(
+            "A target of {service} ran it and answered with a failure of its own (status {}).",
+            last.number("status").unwrap_or_default()
+        ),
         ("client-left", _) => {
             "The client left before it was answered; what could be cancelled was.".into()
         }
--- a/crates/command/src/log_line.rs
+++ b/crates/command/src/log_line.rs
@@ -34,7 +34,7 @@
 
     /// Returns whether the line tells how the request ended for its client.
     pub(crate) fn ends_request(&self) -> bool {
-        matches!(self.event(), "client-left" | "refused")
+        matches!(self.event(), "client-left" | "refused" | "target-error")
     }
 
     pub(crate) fn text(&self, key: &str) -> Option<&str> {
--- a/crates/command/tests/explain.rs
+++ b/crates/command/tests/explain.rs
@@ -40,6 +40,26 @@
     assert!(explain(&[&line]).contains(part));
 }
 
+#[test]
+fn a_targets_own_failure_is_told() {
+    let said = explain(&[
+        r#"{"at_ms":5,"event":"repeat","id":"abc","arrivals":1}"#,
+        r#"{"at_ms":6,"event":"target-error","id":"abc","service":"s","status":500}"#,
+    ]);
+    assert!(said.contains("a failure of its own (status 500)"), "{said}");
+}
+
+#[test]
+fn an_earlier_try_that_may_have_run_is_not_hidden() {
+    let said = explain(&[
+        r#"{"at_ms":6,"event":"refused","id":"abc","arrivals":1,"reason":"busy","service":"s","verdict":"may-have-run"}"#,
+    ]);
+    assert!(
+        said.contains("\nAn earlier try reached a target and may have run"),
+        "{said}"
+    );
+}
+
 #[test]
 fn lines_of_several_daemons_are_put_in_order() {
     let said = explain(&[
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -31,7 +31,10 @@
         Ok(found) => found,
         Err(reason) => {
             app.metrics.failed(reason);
-            log::info!(event = "refused", id = text(id.as_ref()), reason = reason.as_str(); "");
+            let version = app
+                .core
+                .with(|node, _| node.config.as_ref().map_or(0, |config| config.version));
+            log::info!(event = "refused", id = text(id.as_ref()), reason = reason.as_str(), config_version = version; "");
             return Failure::not_run(reason).reply(id.as_ref());
         }
     };
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -48,6 +48,8 @@
 struct Tries {
     arrivals: u32,
     excluded: Vec<SocketAddr>,
+    /// A target's own failure, which is passed on if no other try does better.
+    failure: Option<Reply>,
     last_reason: Option<RefusalReason>,
     shortest_wait: Option<Duration>,
     turns: usize,
@@ -64,18 +66,35 @@
         let ended = timeout_at(latest.into(), self.try_targets(app, &mut tries)).await;
         let ended = ended.unwrap_or_else(|_| Err(Failure::may_have_run(RefusalReason::Deadline)));
         unanswered.disarm();
+        let ended = match (ended, tries.failure.take()) {
+            (Err(_), Some(reply)) => Ok(reply),
+            (ended, _) => ended,
+        };
         let took = self.arrived.elapsed();
         match ended {
             Ok(reply) => {
                 app.metrics.answered(reply.status, took);
+                if reply.status >= 500 {
+                    log::info!(
+                        event = "target-error", id = self.forwarded.id_text(), status = reply.status,
+                        service = &*self.service, after_us = micros(took), arrivals = tries.arrivals;
+                        ""
+                    );
+                }
                 reply
             }
             Err(failure) => {
                 app.metrics.failed(failure.reason);
+                let (config_version, targets) = app.core.with(|node, cx| {
+                    let version = node.config.as_ref().map_or(0, |config| config.version);
+                    (version, node.directory.usable(cx.now(), &self.service))
+                });
+                let left = self.deadline.saturating_duration_since(Instant::now());
                 log::info!(
                     event = "refused", id = self.forwarded.id_text(), reason = failure.reason.as_str(),
                     verdict = failure.verdict.to_string().as_str(), service = &*self.service,
-                    after_us = micros(took), arrivals = tries.arrivals, turns = tries.turns;
+                    after_us = micros(took), arrivals = tries.arrivals, turns = tries.turns,
+                    left_us = micros(left), targets = targets, config_version = config_version;
                     ""
                 );
                 failure.reply(self.forwarded.id.as_ref())
@@ -106,19 +125,22 @@
             match reply.end {
                 RunEnd::Answered(answer) => {
                     tries.arrivals += 1;
-                    if answer.status >= 500 && self.may_repeat(app, tries, &choice) {
-                        continue;
-                    }
+                    let is_failure = answer.status >= 500;
                     let body = match answer.rest {
                         Some(rest) => ReplyBody::Stream(rest),
                         None => ReplyBody::Full(answer.whole),
                     };
-                    return Ok(Reply {
+                    let reply = Reply {
                         body,
                         close: false,
                         headers: answer.headers,
                         status: answer.status,
-                    });
+                    };
+                    if is_failure && self.may_repeat(app, tries, &choice) {
+                        tries.failure = Some(reply);
+                        continue;
+                    }
+                    return Ok(reply);
                 }
                 RunEnd::Lost(reason) => {
                     tries.arrivals += 1;
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{Peer, PeerRecord, TargetChoice, TargetQuery};
+use crate::{Peer, PeerRecord, TargetChoice, TargetQuery, TargetRecord};
 
 /// What a hop into another availability zone costs beside its time, as a share of the target latency:
 /// bytes between zones are dear, and an answer within the target latency needn't be the fastest.
@@ -90,6 +90,15 @@
             .count()
     }
 
+    /// Returns how many targets of a service can be chosen.
+    #[must_use]
+    pub fn usable(&self, now: Instant, service: &str) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| is_usable(now, peer, service))
+            .count()
+    }
+
     /// Chooses the target with the soonest expected answer; bytes between zones count as time.
     ///
     /// The choice may wait at its gate until the second best is the better one.
@@ -127,9 +136,7 @@
     /// Returns the expected time to an answer with all penalties, and the wait in it.
     fn cost(&self, now: Instant, peer: &Peer, query: &TargetQuery) -> Option<(Duration, Duration)> {
         let record = peer.record();
-        let target = record.target.as_ref()?;
-        let offered = record.serving && target.is_usable() && *target.service == *query.service;
-        if !offered || !peer.is_alive(now) || query.excluded.contains(&record.address) {
+        if !is_usable(now, peer, query.service) || query.excluded.contains(&record.address) {
             return None;
         }
         let run = peer.expected_run(query.route, query.assumed_run);
@@ -143,3 +150,9 @@
         Some((run + wait + hop + failing, wait))
     }
 }
+
+fn is_usable(now: Instant, peer: &Peer, service: &str) -> bool {
+    let record = peer.record();
+    let offers = |target: &TargetRecord| target.is_usable() && *target.service == *service;
+    record.serving && record.target.as_ref().is_some_and(offers) && peer.is_alive(now)
+}
