Let silence follow the fleet's size, and gather changes of the configuration

In a storm of configurations each version cost each daemon a call.

Change: a daemon counts as silent after 1.8 s for each turn, and one that a call could not reach is passed over until it is heard. After a change the next feed waits 700 ms, and a peer's newer version is left to the own feed for 1 s; two seconds are allowed. A randomized fault soak of the real program comes with it.

--- a/crates/bench/benches/overnight.rs
+++ b/crates/bench/benches/overnight.rs
@@ -1,6 +1,6 @@
 //! One night of each deployment: real processes, steady load, all faults in seeded order, some together.
 //!
-//! `cargo bench -p medlarspool-bench --bench overnight [-- SEED]`. See docs/OPERATING.md for the faults.
+//! `cargo bench -p medlarspool-bench --bench overnight [-- SEED]`. See docs/OPERATIONS.md for the faults.
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,268 @@
+//! A randomized fault soak of the real program: signals, and links that delay, reset, cut and fall silent.
+//!
+//! `MEDLARSPOOL_SOAK_SEEDS=FIRST..LAST cargo test -p medlarspool-daemon --test soak` plays other seeds.
+
+#[allow(dead_code)]
+#[path = "../../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+#[path = "../../../platform/tests/stand_in/proxy.rs"]
+mod proxy;
+
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use proxy::{LinkFault, Proxy};
+use stand_in::{
+    daemon::{Daemon, base64, config, request, settings_file, wait_until},
+    message::ask,
+    store::Store,
+    target::{Manner, Target},
+};
+
+const DAEMONS: u8 = 4;
+const FAULTS: usize = 12;
+const CLIENTS: usize = 4;
+
+/// How long a fault lasts.
+const FAULT: Duration = Duration::from_millis(500);
+
+/// How long after the last fault every request has to be served: the bound of the recovery.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// A daemon as a process of its own, with the links to its store and its target.
+struct Process {
+    child: Child,
+    daemon: Daemon,
+    settings: tempfile::NamedTempFile,
+    store_link: Proxy,
+    target_link: Proxy,
+}
+
+impl Process {
+    fn start(test: u8, number: u8, store: SocketAddr) -> Self {
+        let ip = IpAddr::from([127, 78, test, number]);
+        let address = |port| SocketAddr::new(ip, port);
+        let target = Target::start(address(18_331), &format!("i-{ip}"), Manner::Whole(5));
+        let store_link = Proxy::start(address(18_309), store);
+        let target_link = Proxy::start(address(18_301), address(18_331));
+        let settings = settings_file(ip, address(18_309), 18_301, "skymap");
+        let child = spawn(&settings);
+        Self {
+            child,
+            daemon: Daemon { ip, target },
+            settings,
+            store_link,
+            target_link,
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args([name, &pid])
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+
+    fn restart(&mut self) {
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings);
+    }
+
+    fn strike(&mut self, random: &mut fastrand::Rng) {
+        let link_faults = [
+            LinkFault::CutBack,
+            LinkFault::CutForth,
+            LinkFault::Delays(30),
+            LinkFault::Resets,
+            LinkFault::Silent,
+        ];
+        match random.u8(..6) {
+            0 => {
+                self.child.kill().unwrap();
+                self.restart();
+            }
+            1 => {
+                self.signal("-TERM");
+                self.restart();
+            }
+            2 => {
+                self.signal("-STOP");
+                thread::sleep(FAULT * 3);
+                self.signal("-CONT");
+            }
+            3 => self.signal("-HUP"),
+            part => {
+                let link = if part == 4 {
+                    &self.store_link
+                } else {
+                    &self.target_link
+                };
+                link.set(link_faults[random.usize(..link_faults.len())]);
+                thread::sleep(FAULT);
+                link.set(LinkFault::None);
+            }
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(settings: &tempfile::NamedTempFile) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_medlarspoold"))
+        .arg("--site")
+        .env(medlarspool_adapter::SETTINGS_VARIABLE, settings.path())
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// What each request was answered with; 0 for none.
+type Statuses = Arc<Mutex<HashMap<String, u16>>>;
+
+fn send_requests(
+    addresses: &[SocketAddr],
+    seed: u64,
+    sent: &AtomicU64,
+    ended: &AtomicBool,
+    statuses: &Statuses,
+) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    while !ended.load(Ordering::SeqCst) {
+        let id = format!("r{}", sent.fetch_add(1, Ordering::SeqCst));
+        let at_most_once = random.bool();
+        let text = if at_most_once {
+            request("PUT", "/write/", &id)
+        } else {
+            request("GET", "/read/", &id)
+        };
+        let answer = ask(addresses[random.usize(..addresses.len())], &text);
+        if let Some(answer) = answer.as_ref().filter(|answer| answer.status() == 200) {
+            assert_eq!(answer.header("Request-Id"), Some(id.as_str()));
+            assert!(
+                answer.body.ends_with(format!("ran {id}").as_bytes()),
+                "{answer:?}"
+            );
+        }
+        let kind = if at_most_once { "w" } else { "" };
+        let status = answer.map_or(0, |answer| answer.status());
+        statuses
+            .lock()
+            .unwrap()
+            .insert(format!("{kind}{id}"), status);
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn soak(test: u8, seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let store_address = SocketAddr::from(([127, 78, test, 250], 18_309));
+    let store = Store::start(store_address);
+    store.put("op", "config", &base64(config(1, "skymap").as_bytes()));
+    let mut fleet: Vec<Process> = (1..=DAEMONS)
+        .map(|number| Process::start(test, number, store_address))
+        .collect();
+    for process in &fleet {
+        wait_until("readiness", || process.daemon.readiness() == 200);
+        assert_eq!(process.daemon.heartbeat("skymap", "ready", 1), 200);
+    }
+    let addresses: Vec<SocketAddr> = fleet
+        .iter()
+        .map(|process| process.daemon.outbound())
+        .collect();
+    let served = |address: SocketAddr| {
+        ask(address, &request("GET", "/read/", "probe"))
+            .is_some_and(|answer| answer.status() == 200)
+    };
+    for address in &addresses {
+        wait_until("service", || served(*address));
+    }
+    let (sent, ended, statuses) = (
+        AtomicU64::new(0),
+        AtomicBool::new(false),
+        Statuses::default(),
+    );
+    thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let (addresses, sent, ended, statuses) = (&addresses, &sent, &ended, &statuses);
+            let client_seed = seed * 100 + client as u64;
+            scope.spawn(move || send_requests(addresses, client_seed, sent, ended, statuses));
+        }
+        for _ in 0..FAULTS {
+            let index = random.usize(..fleet.len());
+            fleet[index].strike(&mut random);
+        }
+        let latest = Instant::now() + RECOVERY;
+        let all_served = || {
+            addresses
+                .iter()
+                .all(|address| (0..5).all(|_| served(*address)))
+        };
+        while !all_served() {
+            assert!(
+                Instant::now() < latest,
+                "seed {seed}: not served again in {RECOVERY:?}"
+            );
+        }
+        ended.store(true, Ordering::SeqCst);
+    });
+    thread::sleep(Duration::from_secs(2));
+    check_runs(&fleet, &statuses.lock().unwrap(), seed);
+}
+
+/// Checks that nothing ran twice that must not, and that nothing ran that was called "not run".
+fn check_runs(fleet: &[Process], statuses: &HashMap<String, u16>, seed: u64) {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for process in fleet {
+        for run in process.daemon.target.ran.lock().unwrap().iter() {
+            let id = run.header("Request-Id").unwrap_or_default().to_owned();
+            *runs.entry(id).or_default() += 1;
+        }
+    }
+    let mut served = 0;
+    for (id, status) in statuses {
+        served += usize::from(*status == 200);
+        let Some(id) = id.strip_prefix('w') else {
+            continue;
+        };
+        let count = runs.get(id).copied().unwrap_or_default();
+        assert!(count <= 1, "seed {seed}: {id} ran {count} times");
+        if *status == 503 {
+            assert_eq!(count, 0, "seed {seed}: {id} was called not run");
+        }
+    }
+    assert!(
+        served * 2 > statuses.len(),
+        "seed {seed}: {served} of {} served",
+        statuses.len()
+    );
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    let seeds = std::env::var("MEDLARSPOOL_SOAK_SEEDS").unwrap_or_else(|_| "1..3".into());
+    let (first, last) = seeds.split_once("..").expect("FIRST..LAST");
+    let seeds = first.parse::<u64>().unwrap()..last.parse::<u64>().unwrap();
+    for (test, seed) in (1..).zip(seeds) {
+        soak(test, seed);
+    }
+}
--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -52,7 +52,7 @@
                 let record = peer.record();
                 json!({
                     "address": address.to_string(),
-                    "alive": peer.is_alive(now),
+                    "alive": node.directory.is_alive(now, *address),
                     "availability_zone": &*record.availability_zone,
                     "in_flight": peer.in_flight,
                     "running": record.load.running,
--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -14,8 +14,12 @@
 /// the end of it; until then the peers' reports tell of newer versions.
 const FEED_WAIT: Duration = Duration::from_secs(10);
 
+/// How long changes are gathered after one came: configurations come in quick succession, each call is
+/// priced, and a change may take two seconds to be in force.
+const GATHER: Duration = Duration::from_millis(700);
+
 /// How long a peer's newer version is left to this daemon's own feed, which is cheaper.
-const OWN_FEED_FIRST: Duration = Duration::from_millis(250);
+const OWN_FEED_FIRST: Duration = Duration::from_secs(1);
 
 /// The longest wait for a peer's copy.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,7 +46,9 @@
                 for row in &rows.rows {
                     take_row(&app, row);
                 }
-                after = Some(rows.version);
+                if after.replace(rows.version).is_some() && !rows.rows.is_empty() {
+                    sleep(GATHER).await;
+                }
             }
             Err(StoreError::HistoryDropped) => after = None,
             Err(_) => {
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -108,9 +108,7 @@
             log::info!(event = "peer-unreachable", peer = address.to_string().as_str(), error = error.to_string().as_str(); "");
             app.core.with(|node, cx| {
                 let now = cx.now();
-                if let Some(peer) = node.directory.peer_mut(address) {
-                    peer.mark_unreachable(now);
-                }
+                node.directory.mark_unreachable(now, address);
             });
             let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
             Err(RunEnd::NotRun(if refused {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,9 +18,6 @@
 /// How often a daemon reports to the others. Three lost reports in a row make it count as silent.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The most daemons that are told in one turn; in larger fleets the turns go round.
-const REPORT_FANOUT: usize = 40;
-
 /// How many crashes a report tells of.
 const CRASHES_IN_REPORT: usize = 12;
 
@@ -181,7 +178,7 @@
             })
             .map(|(address, _)| *address)
             .collect();
-        let turns = told.len().div_ceil(REPORT_FANOUT).max(1);
+        let turns = self.directory.report_turns();
         let this_turn = usize::try_from(turn).unwrap_or_default() % turns;
         for (index, address) in told.iter().enumerate() {
             if to_all || index % turns == this_turn {
@@ -234,10 +231,7 @@
         for (fingerprint, id) in &report.crashes {
             self.crashes.record(now, *fingerprint, *id);
         }
-        let silent = self
-            .directory
-            .peer(from)
-            .is_none_or(|peer| !peer.is_alive(now));
+        let silent = !self.directory.is_alive(now, from);
         if let Some(target) = report.your_target {
             self.own.remember(target);
         }
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -20,6 +20,13 @@
 /// The share of the target latency that a run that fails costs, since it has to be made again.
 const FAILURE_COST: f64 = 0.3;
 
+/// The most daemons that one tells in one turn; in larger fleets the turns go round.
+const REPORT_FANOUT: usize = 40;
+
+/// How long a daemon that wasn't heard counts as alive, for each turn of its reports: three reports,
+/// which come every 500 ms, and a margin.
+const SILENT: Duration = Duration::from_millis(1_800);
+
 /// The other daemons by address, and the choice among their targets.
 #[derive(Debug)]
 pub struct Directory {
@@ -69,6 +76,33 @@
         self.peers.get(&address)
     }
 
+    /// Returns in how many turns all daemons are told.
+    #[must_use]
+    pub fn report_turns(&self) -> usize {
+        self.peers.len().div_ceil(REPORT_FANOUT).max(1)
+    }
+
+    /// Returns after how long without a report a daemon counts as silent.
+    #[must_use]
+    pub fn silent_after(&self) -> Duration {
+        SILENT * u32::try_from(self.report_turns()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether a daemon is known and alive.
+    #[must_use]
+    pub fn is_alive(&self, now: Instant, address: SocketAddr) -> bool {
+        self.peer(address)
+            .is_some_and(|peer| peer.is_alive(now, self.silent_after()))
+    }
+
+    /// Notes that a call didn't reach a daemon.
+    pub fn mark_unreachable(&mut self, now: Instant, address: SocketAddr) {
+        let most = self.silent_after();
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.mark_unreachable(now, most);
+        }
+    }
+
     /// Returns all daemons.
     pub fn peers(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         self.peers.iter()
@@ -86,7 +120,7 @@
         1 + self
             .peers
             .values()
-            .filter(|peer| peer.is_alive(now))
+            .filter(|peer| peer.is_alive(now, self.silent_after()))
             .count()
     }
 
@@ -95,7 +129,7 @@
     pub fn usable(&self, now: Instant, service: &str) -> usize {
         self.peers
             .values()
-            .filter(|peer| is_usable(now, peer, service))
+            .filter(|peer| self.is_usable(now, peer, service))
             .count()
     }
 
@@ -136,7 +170,7 @@
     /// Returns the expected time to an answer with all penalties, and the wait in it.
     fn cost(&self, now: Instant, peer: &Peer, query: &TargetQuery) -> Option<(Duration, Duration)> {
         let record = peer.record();
-        if !is_usable(now, peer, query.service) || query.excluded.contains(&record.address) {
+        if !self.is_usable(now, peer, query.service) || query.excluded.contains(&record.address) {
             return None;
         }
         let run = peer.expected_run(query.route, query.assumed_run);
@@ -149,10 +183,12 @@
         let failing = query.target_latency.mul_f64(peer.failing() * FAILURE_COST);
         Some((run + wait + hop + failing, wait))
     }
-}
 
-fn is_usable(now: Instant, peer: &Peer, service: &str) -> bool {
-    let record = peer.record();
-    let offers = |target: &TargetRecord| target.is_usable() && *target.service == *service;
-    record.serving && record.target.as_ref().is_some_and(offers) && peer.is_alive(now)
+    fn is_usable(&self, now: Instant, peer: &Peer, service: &str) -> bool {
+        let record = peer.record();
+        let offers = |target: &TargetRecord| target.is_usable() && *target.service == *service;
+        record.serving
+            && record.target.as_ref().is_some_and(offers)
+            && peer.is_alive(now, self.silent_after())
+    }
 }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -2,12 +2,6 @@
 
 use crate::{PeerRecord, RouteKey, RunTimes, TargetLoad};
 
-/// How long a daemon that wasn't heard counts as alive: three reports and a margin.
-const SILENT: Duration = Duration::from_millis(1_800);
-
-/// How long a daemon that a call couldn't reach is passed over, unless it is heard before.
-const UNREACHABLE: Duration = Duration::from_secs(1);
-
 /// How long a report on load is taken at its word.
 const LOAD_FRESH: Duration = Duration::from_millis(1_500);
 
@@ -71,17 +65,17 @@
         self.run_times.record(route, took, assumed);
     }
 
-    /// Notes that a call didn't reach the daemon.
-    pub fn mark_unreachable(&mut self, now: Instant) {
-        self.unreachable_until = Some(now + UNREACHABLE);
+    /// Notes that a call didn't reach the daemon; it is passed over for `most`, or until it is heard.
+    pub fn mark_unreachable(&mut self, now: Instant, most: Duration) {
+        self.unreachable_until = Some(now + most);
     }
 
-    /// Returns whether the daemon was heard lately and the last call reached it.
+    /// Returns whether the daemon was heard within `silent_after` and the last call reached it.
     #[must_use]
-    pub fn is_alive(&self, now: Instant) -> bool {
+    pub fn is_alive(&self, now: Instant, silent_after: Duration) -> bool {
         let heard = self
             .heard_at
-            .is_some_and(|at| now.saturating_duration_since(at) < SILENT);
+            .is_some_and(|at| now.saturating_duration_since(at) < silent_after);
         heard && self.unreachable_until.is_none_or(|until| until <= now)
     }
 
