Answer for a lost hop truthfully after a restart, and keep answers for it

Cause: a gate that was started again said of any request that it had not run, since it remembered none; the one that ran at its target could have been sent on. An answer written to a connection that was already lost was gone. On the grown deployment each change of the configuration (263 KB, 2.7 ms to decode) also made all daemons report to all at once.

Change: an entry names the life of the daemon that it sent the hop to, and a later life says that the request may have run. Answers read whole are kept for two seconds.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -11,3 +11,18 @@
     /// The whole body, unless there is a rest, which then has all of it.
     pub(crate) whole: Bytes,
 }
+
+impl Answer {
+    /// Copies an answer that was read whole.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        if self.rest.is_some() {
+            return None;
+        }
+        Some(Self {
+            headers: self.headers.clone(),
+            rest: None,
+            status: self.status,
+            whole: self.whole.clone(),
+        })
+    }
+}
--- a/crates/edge/src/byte_stream.rs
+++ b/crates/edge/src/byte_stream.rs
@@ -14,6 +14,9 @@
 /// How much is read at once: most messages fit.
 const READ_BYTES: usize = 4_096;
 
+/// How much is read at once after a read that filled its room: each call is charged.
+const LONG_READ_BYTES: usize = 64 << 10;
+
 /// After how long without an acknowledgement of sent data a connection counts as lost. Round trips
 /// take milliseconds, and a lost packet is sent again after 200 ms and 600 ms.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
@@ -29,6 +32,7 @@
 pub(crate) struct ByteStream {
     pub(crate) buffer: BytesMut,
     pub(crate) idle_since: Instant,
+    read_was_full: bool,
     stream: TcpStream,
 }
 
@@ -40,6 +44,7 @@
         Self {
             buffer: BytesMut::new(),
             idle_since: Instant::now(),
+            read_was_full: false,
             stream,
         }
     }
@@ -71,8 +76,16 @@
 
     /// Reads some bytes into the buffer; returns 0 at the end. Safe to drop while it waits.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let wanted = if self.read_was_full {
+            LONG_READ_BYTES
+        } else {
+            READ_BYTES
+        };
+        self.buffer.reserve(wanted);
+        let room = self.buffer.capacity() - self.buffer.len();
+        let read = self.stream.read_buf(&mut self.buffer).await?;
+        self.read_was_full = read == room;
+        Ok(read)
     }
 
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -59,8 +59,13 @@
     }
 }
 
-/// Answers an entry that lost the hop of a request.
-pub(crate) async fn attach(app: Rc<App>, id: &bytes::Bytes) -> GateReply {
+/// Answers an entry that lost the hop of a request to this daemon in `incarnation`.
+///
+/// What an earlier life of this daemon did with the request isn't known: it may have run.
+pub(crate) async fn attach(app: Rc<App>, id: &bytes::Bytes, incarnation: u64) -> GateReply {
+    if app.core.with(|node, _| node.incarnation) != incarnation {
+        return reply(&app, RunEnd::Lost(RefusalReason::HopLost));
+    }
     match app.runs.attach(id) {
         Attached::Ended(reply) => reply,
         Attached::NeverSeen => reply(&app, RunEnd::NotRun(RefusalReason::HopLost)),
--- a/crates/edge/src/gate_reply.rs
+++ b/crates/edge/src/gate_reply.rs
@@ -11,3 +11,19 @@
     /// How long the target took, if it answered.
     pub(crate) run: Option<Duration>,
 }
+
+impl GateReply {
+    /// Copies a reply whose answer, if there is one, was read whole.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        let end = match &self.end {
+            RunEnd::Answered(answer) => RunEnd::Answered(answer.copy()?),
+            RunEnd::Lost(reason) => RunEnd::Lost(*reason),
+            RunEnd::NotRun(reason) => RunEnd::NotRun(*reason),
+        };
+        Some(Self {
+            end,
+            load: self.load,
+            run: self.run,
+        })
+    }
+}
--- a/crates/edge/src/gate_server.rs
+++ b/crates/edge/src/gate_server.rs
@@ -32,13 +32,15 @@
         };
     }
     let _work = app.work();
-    let is_attach = incoming.head.headers.get(hop_header::ATTACH).is_some();
+    let attach_to = incoming.head.headers.text(hop_header::ATTACH);
+    let attach_to = attach_to.map(|text| text.parse().unwrap_or_default());
     let Some(call) = gate_call(incoming) else {
         return Reply::status(400);
     };
-    let reply = match &call.forwarded.id {
-        Some(id) if is_attach => attach(app.clone(), &id.clone()).await,
-        _ => pass_gate(app.clone(), call).await,
+    let reply = match (&call.forwarded.id, attach_to) {
+        (Some(id), Some(incarnation)) => attach(app.clone(), &id.clone(), incarnation).await,
+        (None, Some(_)) => return Reply::status(400),
+        (_, None) => pass_gate(app.clone(), call).await,
     };
     encode(reply)
 }
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -42,6 +42,10 @@
     if address == app.settings.peer_address {
         return pass_gate(app.clone(), call).await;
     }
+    let incarnation = app.core.with(|node, _| {
+        let peer = node.directory.peer(address);
+        peer.map_or(0, |peer| peer.record().incarnation)
+    });
     let kept = app.peer_pool.take(address);
     let was_kept = kept.is_some();
     let stream = match kept {
@@ -51,7 +55,7 @@
             Err(end) => return reply(app, end),
         },
     };
-    match send(app, address, stream, &call, false).await {
+    match send(app, address, stream, &call, None).await {
         Ok(reply) => reply,
         Err(error) => {
             log::info!(event = "hop-lost", id = call.forwarded.id_text(), peer = address.to_string().as_str(), error = error.to_string().as_str(), kept = was_kept; "");
@@ -59,7 +63,7 @@
                 // Others to the same daemon may have gone silent together.
                 app.peer_pool.clear(address);
             }
-            settle(app, address, call, error).await
+            settle(app, address, call, error, incarnation).await
         }
     }
 }
@@ -70,6 +74,7 @@
     address: SocketAddr,
     call: GateCall,
     error: ExchangeError,
+    incarnation: u64,
 ) -> GateReply {
     if call.route.repeat == Repeat::Idempotent || call.forwarded.id.is_none() {
         return reply(app, RunEnd::Lost(RefusalReason::HopLost));
@@ -80,7 +85,8 @@
     while call.deadline > Instant::now() {
         match connect(app, address, call.deadline).await {
             Ok(stream) => {
-                if let Ok(settled) = send(app, address, stream, &call, true).await {
+                let asked = send(app, address, stream, &call, Some(incarnation)).await;
+                if let Ok(settled) = asked {
                     log::info!(event = "hop-settled", id = call.forwarded.id_text(), peer = address.to_string().as_str(); "");
                     return settled;
                 }
@@ -126,7 +132,7 @@
     address: SocketAddr,
     stream: ByteStream,
     call: &GateCall,
-    attach: bool,
+    attach_to: Option<u64>,
 ) -> Result<GateReply, ExchangeError> {
     let left = call.deadline.saturating_duration_since(Instant::now());
     let forwarded = &call.forwarded;
@@ -146,13 +152,12 @@
     if call.is_repeat {
         put(hop_header::REPEAT, "1".into());
     }
-    if attach {
-        put(hop_header::ATTACH, "1".into());
+    if let Some(incarnation) = attach_to {
+        put(hop_header::ATTACH, incarnation.to_string());
     }
-    let mut rest = if attach {
-        None
-    } else {
-        forwarded.rest.borrow_mut().take()
+    let mut rest = match attach_to {
+        Some(_) => None,
+        None => forwarded.rest.borrow_mut().take(),
     };
     let request = Outgoing {
         body: &forwarded.body,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -258,7 +258,9 @@
     }
 
     /// Puts a version in force; returns whether it is newer than the one in force.
-    pub(crate) fn put_config(&mut self, cx: CX![], config: MeshConfig, bytes: Bytes) -> bool {
+    ///
+    /// The next reports tell of it; all daemons follow the store by themselves, so there is no hurry.
+    pub(crate) fn put_config(&mut self, config: MeshConfig, bytes: Bytes) -> bool {
         let newer = self
             .config
             .as_ref()
@@ -273,7 +275,6 @@
             self.config = Some(Rc::new(config));
             self.config_bytes = bytes;
             self.splits.clear();
-            self.tell_soon(cx);
         }
         newer
     }
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -124,7 +124,10 @@
             if let Some(target) = report.sender.target {
                 node.own.remember(target);
             }
-            node.incarnation = node.incarnation.max(report.sender.incarnation + 1);
+            if report.sender.incarnation > node.incarnation {
+                // The time of day was set back since the earlier life.
+                node.incarnation = report.sender.incarnation + 1;
+            }
         } else if node.directory.remember(report.sender) {
             let record = node.next_record();
             node.send_report(address, record, true);
--- a/crates/edge/src/run_table.rs
+++ b/crates/edge/src/run_table.rs
@@ -12,6 +12,9 @@
 /// How long the end of a run is kept for an entry that lost its hop: longer than any deadline left.
 const KEPT: Duration = Duration::from_secs(6);
 
+/// How long an answer is kept, which takes more room: an entry that lost its hop asks at once.
+const ANSWER_KEPT: Duration = Duration::from_secs(2);
+
 /// The most runs kept.
 const MAX_KEPT: usize = 4_096;
 
@@ -62,8 +65,11 @@
         Some(receiver)
     }
 
-    /// Takes in the end of a run; it goes to who waits last, or is kept.
+    /// Takes in the end of a run; it goes to who waits last.
+    ///
+    /// A copy is kept: the connection on which it is sent may be lost already.
     pub(crate) fn end(&self, id: &Bytes, reply: GateReply) {
+        let copy = reply.copy();
         let mut reply = Some(reply);
         let mut runs = self.runs.borrow_mut();
         if let Some(Run::Running(waiting)) = runs.remove(id) {
@@ -72,6 +78,7 @@
                 reply = sender.send(ready).err();
             }
         }
+        let reply = reply.or(copy);
         let at = Instant::now();
         runs.insert(id.clone(), Run::Ended { at, reply });
     }
@@ -98,7 +105,13 @@
 
 fn sweep(runs: &mut HashMap<Bytes, Run>, now: Instant) {
     runs.retain(|_, run| match run {
-        Run::Ended { at, .. } => now.saturating_duration_since(*at) < KEPT,
+        Run::Ended { at, reply } => {
+            let age = now.saturating_duration_since(*at);
+            if age >= ANSWER_KEPT {
+                *reply = None;
+            }
+            age < KEPT
+        }
         Run::Running(_) => true,
     });
 }
--- a/crates/edge/src/store_client.rs
+++ b/crates/edge/src/store_client.rs
@@ -106,10 +106,10 @@
         let reachable = matches!(result, Ok(_) | Err(StoreError::HistoryDropped));
         if self.reachable.replace(reachable) != reachable {
             match result {
-                Err(error) => {
+                Err(error) if !reachable => {
                     log::warn!(event = "store-lost", error = error.to_string().as_str(); "");
                 }
-                Ok(_) => log::info!(event = "store-back"; ""),
+                _ => log::info!(event = "store-back"; ""),
             }
         }
     }
--- a/crates/hop/src/hop_header.rs
+++ b/crates/hop/src/hop_header.rs
@@ -1,6 +1,7 @@
 //! The headers that a daemon adds to a request for the daemon beside a target, and to its answer.
 
-/// Marks a request that asks only for the fate of an earlier hop.
+/// Marks a request that asks only for the fate of an earlier hop; holds the incarnation of the daemon
+/// that the hop was sent to, since a later one knows nothing of it.
 pub const ATTACH: &str = "Medlarspool-Attach";
 /// Fingerprint of the request, in hexadecimal digits.
 pub const FINGERPRINT: &str = "Medlarspool-Fingerprint";
