Read heads, fetch paths and gather bodies in one place each

Cause: reading the diff as a newcomer: the head's length was found twice, a plain GET stood in two modules, bodies were gathered twice, and a file of the load patterns had grown.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -264,5 +264,6 @@
     let seeds = first.parse::<u64>().unwrap()..last.parse::<u64>().unwrap();
     for (test, seed) in (1..).zip(seeds) {
         soak(test, seed);
+        println!("seed {seed}: held");
     }
 }
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -13,6 +13,18 @@
 }
 
 impl Answer {
+    /// Returns the whole body, and waits for the rest of it if there is one.
+    pub(crate) async fn whole_body(mut self) -> std::io::Result<Bytes> {
+        let Some(rest) = &mut self.rest else {
+            return Ok(self.whole);
+        };
+        let mut whole = self.whole.to_vec();
+        while let Some(piece) = rest.next().await? {
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.into())
+    }
+
     /// Copies an answer that was read whole.
     pub(crate) fn copy(&self) -> Option<Self> {
         if self.rest.is_some() {
--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -1,14 +1,11 @@
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use medlarspool_adapter::{CONFIG_KEY, CONFIG_TABLE, StoreCall, StoreRow};
 use medlarspool_hop::peer_path;
 use tokio::time::{sleep, timeout};
 
-use crate::{
-    app::App, body_framing::BodyFraming, byte_stream::ByteStream, exchange::exchange,
-    header_list::HeaderList, outgoing::Outgoing, store_client::backoff, store_error::StoreError,
-};
+use crate::{app::App, fetch::fetch, store_client::backoff, store_error::StoreError};
 
 /// How long the store is asked to hold a call for a change. A feed that went silent is noticed by
 /// the end of it; until then the peers' reports tell of newer versions.
@@ -87,7 +84,7 @@
             peer.filter(|_| version > own)
         });
         let Some(peer) = newer else { continue };
-        match timeout(PEER_TIMEOUT, fetch(peer)).await {
+        match timeout(PEER_TIMEOUT, peers_copy(peer)).await {
             Ok(Some(bytes)) => put(&app, bytes, "peer"),
             _ => {
                 log::info!(event = "config-fetch-failed", peer = peer.to_string().as_str(); "");
@@ -96,29 +93,10 @@
     }
 }
 
-async fn fetch(peer: std::net::SocketAddr) -> Option<Bytes> {
-    let stream = ByteStream::connect(peer, PEER_TIMEOUT).await.ok()?;
-    let mut headers = HeaderList::default();
-    headers.push(&b"Host"[..], peer.to_string());
-    let request = Outgoing {
-        body: &Bytes::new(),
-        expected_id: None,
-        extra: &HeaderList::default(),
-        framing: BodyFraming::Length(0),
-        headers: &headers,
-        method: "GET",
-        rest: None,
-        target: peer_path::CONFIG.as_bytes(),
-    };
-    let (mut answer, _) = exchange(stream, request, None).await.ok()?;
+async fn peers_copy(peer: SocketAddr) -> Option<Bytes> {
+    let (answer, _) = fetch(peer, peer_path::CONFIG, PEER_TIMEOUT).await?;
     if answer.status != 200 {
         return None;
     }
-    let mut whole = answer.whole.to_vec();
-    if let Some(rest) = &mut answer.rest {
-        while let Some(piece) = rest.next().await.ok()? {
-            whole.extend_from_slice(&piece);
-        }
-    }
-    Some(whole.into())
+    answer.whole_body().await.ok()
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod exchange_error;
 mod failure;
+mod fetch;
 mod forwarded;
 mod gate;
 mod gate_call;
--- a/crates/edge/src/message_head.rs
+++ b/crates/edge/src/message_head.rs
@@ -27,17 +27,9 @@
     pub(crate) fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HttpFault> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut fields);
-        let used = match parsed.parse(buffer) {
-            Ok(httparse::Status::Complete(used)) => used,
-            Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
-            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(HttpFault::HeaderTooLong);
-            }
-            Err(_) => return Err(HttpFault::Malformed),
+        let Some(used) = head_length(parsed.parse(buffer), buffer.len(), max_bytes)? else {
+            return Ok(None);
         };
-        if used > max_bytes {
-            return Err(HttpFault::HeaderTooLong);
-        }
         let is_http_11 = parsed.version == Some(1);
         let method = range(buffer, parsed.method.unwrap_or_default().as_bytes());
         let target = range(buffer, parsed.path.unwrap_or_default().as_bytes());
@@ -62,13 +54,8 @@
     pub(crate) fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HttpFault> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut fields);
-        let used = match parsed.parse(buffer) {
-            Ok(httparse::Status::Complete(used)) => used,
-            Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
-            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(HttpFault::HeaderTooLong);
-            }
-            Err(_) => return Err(HttpFault::Malformed),
+        let Some(used) = head_length(parsed.parse(buffer), buffer.len(), max_bytes)? else {
+            return Ok(None);
         };
         let is_http_11 = parsed.version == Some(1);
         let status = parsed.code.unwrap_or_default();
@@ -89,6 +76,20 @@
 
 type Range = std::ops::Range<usize>;
 
+/// Returns how long a head is, or `None` if it isn't whole yet.
+fn head_length(
+    parsed: httparse::Result<usize>,
+    read: usize,
+    max_bytes: usize,
+) -> Result<Option<usize>, HttpFault> {
+    match parsed {
+        Ok(httparse::Status::Complete(used)) if used <= max_bytes => Ok(Some(used)),
+        Ok(httparse::Status::Partial) if read <= max_bytes => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HttpFault::HeaderTooLong),
+        Err(_) => Err(HttpFault::Malformed),
+    }
+}
+
 fn keeps_alive(headers: &HeaderList, is_http_11: bool) -> bool {
     if headers.has_token("connection", "close") {
         return false;
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -119,7 +119,7 @@
 
 fn take_row(app: &Rc<App>, report: Report) {
     let address = report.sender.address;
-    app.core.with(|node, cx| {
+    app.core.with(|node, _| {
         if address == app.settings.peer_address {
             if let Some(target) = report.sender.target {
                 node.own.remember(target);
@@ -131,13 +131,6 @@
         } else if node.directory.remember(report.sender) {
             let record = node.next_record();
             node.send_report(address, record, true);
-            let _ = cx;
         }
     });
 }
-
-/// Waits for `future`, but not for longer than `most`.
-pub(crate) async fn at_most(most: Duration, future: impl Future<Output = ()>) {
-    // What isn't done by then is given up, as the caller asks.
-    let _ = timeout(most, future).await;
-}
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -1,13 +1,9 @@
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use medlarspool_adapter::headers;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::{
-    app::App, body_framing::BodyFraming, byte_stream::ByteStream, exchange::exchange,
-    header_list::HeaderList, outgoing::Outgoing,
-};
+use crate::{app::App, fetch::fetch};
 
 /// How long a daemon that was started again waits for a heartbeat before it probes its target.
 const HEARTBEAT_FIRST: Duration = Duration::from_millis(50);
@@ -57,23 +53,7 @@
 async fn probe(app: &Rc<App>, path: &str) {
     app.metrics.probes.inc();
     let address = app.settings.target_address;
-    let Ok(stream) = ByteStream::connect(address, PROBE_TIMEOUT).await else {
-        return;
-    };
-    let mut sent = HeaderList::default();
-    sent.push(&b"Host"[..], address.to_string());
-    let request = Outgoing {
-        body: &Bytes::new(),
-        expected_id: None,
-        extra: &HeaderList::default(),
-        framing: BodyFraming::Length(0),
-        headers: &sent,
-        method: "GET",
-        rest: None,
-        target: path.as_bytes(),
-    };
-    let Ok(Ok((answer, back))) = timeout(PROBE_TIMEOUT, exchange(stream, request, None)).await
-    else {
+    let Some((answer, back)) = fetch(address, path, PROBE_TIMEOUT).await else {
         return;
     };
     if let Some(back) = back {
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -11,7 +11,7 @@
     signal::unix::{Signal, SignalKind, signal},
     sync::Notify,
     task::{LocalSet, spawn_local},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -29,7 +29,7 @@
     listen::{accept, listen},
     metrics::Metrics,
     node::Node,
-    peer_sync::{at_most, keep_row, read_rows, remove_row},
+    peer_sync::{keep_row, read_rows, remove_row},
     probe::probe_target,
     readiness::serve_readiness,
     reports::receive_reports,
@@ -242,7 +242,8 @@
         }
     }
     if leaves {
-        at_most(LAST_WRITE, remove_row(app)).await;
+        // A row that stays is harmless: others pass over a silent daemon.
+        let _ = timeout(LAST_WRITE, remove_row(app)).await;
     }
     log::info!(event = "stopped", in_flight = app.in_flight.get(); "");
 }
--- a/crates/edge/src/store_client.rs
+++ b/crates/edge/src/store_client.rs
@@ -1,4 +1,4 @@
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use medlarspool_adapter::{StoreCall, StoreRows};
@@ -23,7 +23,7 @@
 /// The only client of the platform's store.
 pub(crate) struct StoreClient {
     address: SocketAddr,
-    reachable: RefCell<bool>,
+    reachable: Cell<bool>,
     pool: ConnectionPool,
 }
 
@@ -31,7 +31,7 @@
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            reachable: RefCell::new(true),
+            reachable: Cell::new(true),
             pool: ConnectionPool::new(MAX_IDLE, 2),
         }
     }
@@ -82,19 +82,16 @@
             rest: None,
             target: target.as_bytes(),
         };
-        let (mut answer, back) = exchange(stream, request, None)
+        let (answer, back) = exchange(stream, request, None)
             .await
             .map_err(|_| StoreError::NoAnswer)?;
         if let Some(back) = back {
             self.pool.keep(self.address, back);
         }
-        let mut whole = answer.whole.to_vec();
-        if let Some(rest) = &mut answer.rest {
-            while let Some(piece) = rest.next().await.map_err(|_| StoreError::NoAnswer)? {
-                whole.extend_from_slice(&piece);
-            }
-        }
-        match answer.status {
+        let status = answer.status;
+        let whole = answer.whole_body().await;
+        let whole = whole.map_err(|_| StoreError::NoAnswer)?;
+        match status {
             200 => StoreRows::decode(&whole).map_err(StoreError::Answer),
             410 => Err(StoreError::HistoryDropped),
             other => Err(StoreError::Status(other)),
--- a/crates/mesh/tests/load/mod.rs
+++ b/crates/mesh/tests/load/mod.rs
@@ -1,5 +1,7 @@
 //! A counted fleet without a network: clients, entries, gates and targets on a clock that is moved.
 
+mod scene;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
@@ -12,66 +14,14 @@
     TargetRecord, WaitingWork,
 };
 
+pub use scene::{Kind, Outcome, Policy, Scene, capacity, map_read};
+
 /// How often gates report their load.
 const REPORT: Duration = Duration::from_millis(500);
 
 /// One way between instances.
 const HOP: Duration = Duration::from_millis(1);
 
-/// How targets are chosen and how long requests may wait.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Policy {
-    /// The product's: by expected answer, with short queues.
-    Product,
-    /// The old one, as a baseline: in turn, first come first served, until the deadline.
-    InTurn,
-}
-
-/// A kind of request.
-#[derive(Clone, Copy, Debug)]
-pub struct Kind {
-    pub deadline: Duration,
-    pub per_s: f64,
-    pub rank: u32,
-    pub target_latency: Duration,
-    pub work: Duration,
-}
-
-/// A fleet and its load.
-#[derive(Clone, Debug)]
-pub struct Scene {
-    /// Requests come so many times as often from the first to the second moment.
-    pub burst: Option<(Duration, Duration, f64)>,
-    pub entries: usize,
-    pub kinds: Vec<Kind>,
-    pub length: Duration,
-    /// From when on the first so many targets are gone, and their daemons silent.
-    pub lost: Option<(Duration, usize)>,
-    pub slots: u32,
-    /// How many times as long as the kind says each target works.
-    pub speeds: Vec<f64>,
-}
-
-/// What became of the requests of one kind.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Outcome {
-    pub asked: u32,
-    pub in_time: u32,
-    pub late: u32,
-    pub longest_refused_wait: Duration,
-    pub refused: u32,
-}
-
-impl Outcome {
-    pub fn share_in_time(&self) -> f64 {
-        f64::from(self.in_time) / f64::from(self.asked)
-    }
-
-    pub fn share_served(&self) -> f64 {
-        f64::from(self.in_time + self.late) / f64::from(self.asked)
-    }
-}
-
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Arrive(usize),
@@ -385,20 +335,3 @@
         }
     }
 }
-
-/// A kind of request like the map reads of the smaller deployment.
-pub fn map_read(per_s: f64) -> Kind {
-    Kind {
-        deadline: Duration::from_millis(800),
-        per_s,
-        rank: 2,
-        target_latency: Duration::from_millis(200),
-        work: Duration::from_millis(60),
-    }
-}
-
-/// Returns the requests a second that targets of these speeds can serve.
-pub fn capacity(slots: u32, speeds: &[f64], work: Duration) -> f64 {
-    let per_slot: f64 = speeds.iter().map(|speed| 1.0 / speed).sum();
-    per_slot * f64::from(slots) / work.as_secs_f64()
-}
