Look for requests under way after the last call of a planned stop

Change: the row is removed first, and nothing is waited for after the last look.

Ruled out: the kept connections, which the client had not used.

--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -234,16 +234,14 @@
         node.own.usable().is_none()
     });
     let most = app.settings.grace.saturating_sub(STOP_MARGIN);
-    loop {
-        sleep(STOP_CHECK).await;
-        let lingered = begun.elapsed() >= STOP_LINGER;
-        if begun.elapsed() >= most || (lingered && app.in_flight.get() == 0) {
-            break;
-        }
-    }
+    sleep((begun + STOP_LINGER).saturating_duration_since(Instant::now())).await;
     if leaves {
         // A row that stays is harmless: others pass over a silent daemon.
         let _ = timeout(LAST_WRITE, remove_row(app)).await;
     }
+    // Nothing is waited for after the last look: a request that came meanwhile would lose its answer.
+    while app.in_flight.get() > 0 && begun.elapsed() < most {
+        sleep(STOP_CHECK).await;
+    }
     log::info!(event = "stopped", in_flight = app.in_flight.get(); "");
 }
