Log what a target names in its responses, and count the requests sent to it

Now the gate logs target-limit and target-leaving when they change, logs an invalid value once, and serves target_limit and target_requests_total. No request is handled differently.

Seen with a stand-in that names 10, 0.5 and 0 requests a second and one that leaves: one line each.

--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -1,5 +1,7 @@
 use std::rc::Rc;
 
+use medlarspool_mesh::RequestRate;
+
 use crate::{
     app::App, fleet_status::fleet_status, incoming_request::IncomingRequest, line_log,
     reply::Reply, state_dump::state_dump, units::millis,
@@ -68,6 +70,10 @@
             .target_waiting
             .set(load.waiting_count(u32::MAX).into());
         metrics.target_failing.set(node.failure_rate);
+        let limit = node.target_notice.limit;
+        metrics
+            .target_limit
+            .set(limit.map_or(-1.0, RequestRate::requests_per_s));
         let age = node
             .config_at
             .map_or(0, |at| millis(now.saturating_duration_since(at)) / 1_000);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -73,6 +73,7 @@
 mod stop_phase;
 mod store_client;
 mod store_error;
+mod target_headers;
 mod target_run;
 mod ticket_guard;
 mod units;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) store_calls: IntCounterVec,
     pub(crate) target_connections: IntCounter,
     pub(crate) target_failing: Gauge,
+    pub(crate) target_limit: Gauge,
+    pub(crate) target_requests: IntCounter,
     pub(crate) target_running: IntGauge,
     pub(crate) target_waiting: IntGauge,
     pub(crate) targets: IntGaugeVec,
@@ -104,6 +106,14 @@
                 "medlarspool_target_failing",
                 "Share of the latest runs at this target that failed, from 0 to 1",
             )?,
+            target_limit: registry.float_gauge(
+                "medlarspool_target_limit",
+                "Requests per second that the target takes by its latest response; -1 if it named no limit",
+            )?,
+            target_requests: registry.counter(
+                "medlarspool_target_requests_total",
+                "Requests sent to the target",
+            )?,
             target_running: registry.gauge(
                 "medlarspool_target_running",
                 "Requests that the target runs",
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use medlarspool_mesh::{
     CalledServices, CrashList, Directory, GateQueue, MeshConfig, OwnTarget, RetryBudget, Route,
-    RouteCosts, RouteKey, RunTimes, SiteSettings, TargetChoice, TargetQuery, WeightedRoundRobin,
+    RouteCosts, RouteKey, RunTimes, SiteSettings, TargetChoice, TargetNotice, TargetQuery,
+    WeightedRoundRobin,
 };
 use stakker::CX;
 
@@ -38,6 +39,8 @@
     /// When the daemon started, in milliseconds since the epoch; raised if its row in the store has a later
     /// start.
     pub(crate) incarnation: u64,
+    /// The latest invalid header of the own target that was logged.
+    pub(crate) invalid_target_header: Option<String>,
     /// When the latest crash of the own target was recorded, and its id.
     pub(crate) last_crash: Option<(Instant, u64)>,
     /// The number that the next run at the own target gets.
@@ -62,6 +65,8 @@
     pub(crate) started_at: Instant,
     /// Whether the store answered the latest call for the configuration.
     pub(crate) store_answers: bool,
+    /// What the own target's latest response said of the target.
+    pub(crate) target_notice: TargetNotice,
     /// When the next tick is due, for measuring how late it comes; none before the first one.
     pub(crate) tick_due_at: Option<Instant>,
     /// The number of the latest tick, by which the batch of peers that gets a report is selected.
@@ -89,6 +94,7 @@
             directory: Directory::new(settings.availability_zone.clone()),
             failure_rate: 0.0,
             incarnation,
+            invalid_target_header: None,
             last_crash: None,
             next_run_number: 1,
             own_target: OwnTarget::default(),
@@ -104,6 +110,7 @@
             service_cycles: HashMap::new(),
             started_at: now,
             store_answers: false,
+            target_notice: TargetNotice::default(),
             tick_due_at: None,
             tick_number: 0,
             report_scheduled: false,
--- a/crates/edge/src/target_run.rs
+++ b/crates/edge/src/target_run.rs
@@ -10,7 +10,7 @@
 use crate::{
     app::App, byte_stream::ByteStream, exchange::exchange, exchange_error::ExchangeError,
     gate_call::GateCall, header_list::HeaderList, outgoing_request::OutgoingRequest,
-    run_outcome::RunOutcome,
+    run_outcome::RunOutcome, target_headers::read_target_headers,
 };
 
 /// The longest wait for a connection to the target, which is on the same machine.
@@ -29,6 +29,7 @@
             Err(reason) => return RunOutcome::NotRun(reason),
         },
     };
+    app.metrics.target_requests.inc();
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     let mut extra = HeaderList::default();
     extra.push(
@@ -55,6 +56,7 @@
             if let Some(reusable) = reusable {
                 app.target_pool.put(address, reusable);
             }
+            read_target_headers(app, &response.headers);
             // A target answers 421 (Misdirected Request) to a request that expects another target.
             let not_run =
                 response.headers.get(headers::NOT_RUN).is_some() || response.status == 421;
