Space the requests to a target by the limit that it names

What callers saw: a target in need named a limit of 18.6 requests a second in its responses and got 263 in 4 s, and turned slower for all of them. Cause: no part of the daemon read the header; a response was forwarded without regard to what it says of the target. The class of the fault: a load signal of the target that ends at the gate.

All requests to a target pass the gate beside it. So one ArrivalLimiter there (generic cell rate algorithm) holds the limit however many entries send, and for retries and calls, too. The queue starts a request only with a free slot and an allowed arrival, and refuses what would wait too long. Gates report the limit and the wait that it causes, so entries choose another target, or refuse with a Retry-After of the time until there is room, 3 s at most. Entries pass the limit on with each request, so a gate that was restarted holds it from the first one on. A limit is raised or lifted only by the response to a request sent after it was named. One that no response confirmed for 3 s is probed, since a target that takes nothing can't say so in responses.

Ruled out: a share of the limit for each entry, which wastes what an entry doesn't use and fails while views of the fleet differ.

--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 
-use medlarspool_mesh::RequestRate;
+use medlarspool_mesh::TargetLimit;
 
 use crate::{
     app::App, fleet_status::fleet_status, incoming_request::IncomingRequest, line_log,
@@ -64,16 +64,16 @@
         for (metric, state, count) in counts {
             metric.with_label_values(&[state]).set(count);
         }
-        let load = node.load();
+        let load = node.load(now);
         metrics.target_running.set(load.running_count.into());
         metrics
             .target_waiting
             .set(load.waiting_count(u32::MAX).into());
         metrics.target_failing.set(node.failure_rate);
-        let limit = node.target_notice.limit;
-        metrics
-            .target_limit
-            .set(limit.map_or(-1.0, RequestRate::requests_per_s));
+        metrics.target_limit.set(match node.queue.limiter.limit() {
+            TargetLimit::Limited(rate) => rate.requests_per_s(),
+            TargetLimit::Unknown | TargetLimit::Unlimited => -1.0,
+        });
         let age = node
             .config_at
             .map_or(0, |at| millis(now.saturating_duration_since(at)) / 1_000);
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -17,6 +17,8 @@
     pub(crate) core: Core,
     /// How many requests and runs a planned stop has to wait for; see [`App::track_work`].
     pub(crate) in_flight: Cell<usize>,
+    /// Notified when the target has not confirmed its limit by a response for a while.
+    pub(crate) limit_unconfirmed: Notify,
     pub(crate) limits: Cell<MessageLimits>,
     pub(crate) metrics: Metrics,
     pub(crate) peer_pool: ConnectionPool,
--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -7,6 +7,9 @@
 /// The shortest retry delay that a client is given: the time of two hops.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// The longest retry delay that a client is given: a target that takes no requests may take some again after it.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+
 /// The results of a request's attempts so far.
 #[derive(Default)]
 pub(crate) struct Attempts {
@@ -22,13 +25,18 @@
     pub(crate) last_reason: Option<RefusalReason>,
     /// Whether an attempt was lost at a target that may have run the request.
     pub(crate) may_have_run: bool,
-    /// The shortest wait that any busy gate reported; none if no gate was busy.
+    /// The shortest time after which a busy gate may have room; none if no gate was busy.
     pub(crate) min_wait: Option<Duration>,
     /// The attempts that ended without a run, also those that did not reach a gate.
     pub(crate) not_run_count: usize,
 }
 
 impl Attempts {
+    /// Records the time after which a busy gate may have room.
+    pub(crate) fn record_wait(&mut self, wait: Duration) {
+        self.min_wait = Some(self.min_wait.map_or(wait, |other| other.min(wait)));
+    }
+
     /// Returns the failure of a request that gets no further attempt and did not run in the last one.
     ///
     /// The client of a request that ran in no attempt is given a retry delay, with jitter.
@@ -37,6 +45,7 @@
             return Failure::may_have_run(reason);
         }
         let wait = self.min_wait.unwrap_or(MIN_RETRY_AFTER);
+        let wait = wait.min(MAX_RETRY_AFTER);
         let jittered_wait = wait.mul_f64(0.5 + fastrand::f64());
         Failure {
             retry_after: Some(jittered_wait.max(MIN_RETRY_AFTER)),
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -4,7 +4,7 @@
 };
 
 use medlarspool_hop::RefusalReason;
-use medlarspool_mesh::{RetrySafety, Route, TargetChoice, TargetQuery};
+use medlarspool_mesh::{RetrySafety, Route, TargetChoice, TargetLimit, TargetQuery};
 use tokio::time::timeout_at;
 
 use crate::{
@@ -144,6 +144,7 @@
             let call = self.gate_call(app, attempts, &choice);
             if choice.expected_wait > call.max_wait {
                 // By the latest loads that the gates reported, each of them would refuse the request.
+                attempts.record_wait(choice.expected_wait.saturating_sub(call.max_wait));
                 return Err(attempts.give_up(RefusalReason::Busy));
             }
             let has_body_rest = self.forwarded.body_rest.borrow().is_some();
@@ -209,9 +210,7 @@
                 }
             }
             RefusalReason::Busy => {
-                let wait = Duration::from_micros(wait_us.into());
-                let min_wait = attempts.min_wait.map_or(wait, |other| other.min(wait));
-                attempts.min_wait = Some(min_wait);
+                attempts.record_wait(Duration::from_micros(wait_us.into()));
             }
             _ => {}
         }
@@ -298,11 +297,12 @@
         let now = Instant::now();
         let remaining = self.deadline.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.arrived_at);
-        let expected_run_time = app.core.with(|node, _| {
-            let assumed_run_time = self.route.assumed_run_time();
+        let assumed_run_time = self.route.assumed_run_time();
+        let (expected_run_time, known_limit) = app.core.with(|node, _| {
             let peer = node.directory.peer(choice.address);
-            peer.map_or(assumed_run_time, |peer| {
-                peer.expected_run_time(self.route.key, assumed_run_time)
+            peer.map_or((assumed_run_time, TargetLimit::Unknown), |peer| {
+                let expected = peer.expected_run_time(self.route.key, assumed_run_time);
+                (expected, peer.limit())
             })
         });
         let route = HopRoute::of(&self.route, waited, self.is_target_call);
@@ -317,6 +317,7 @@
             deadline: self.deadline,
             forwarded: self.forwarded.clone(),
             has_unpaid_calls: attempts.has_unpaid_calls,
+            known_limit,
             max_wait,
             route,
             target_id: choice.target_id.clone(),
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -107,7 +107,7 @@
 pub(crate) fn reply_with_load(app: &Rc<App>, outcome: RunOutcome) -> GateReply {
     GateReply {
         outcome,
-        load: Some(app.core.with(|node, _| node.load())),
+        load: Some(app.core.with(|node, cx| node.load(cx.now()))),
         run: None,
     }
 }
@@ -116,7 +116,7 @@
 async fn wait_for_slot(app: &Rc<App>, call: &GateCall) -> Result<SlotGuard, GateReply> {
     let arrived_at = Instant::now();
     let refusal = |reason| Err(reply_with_load(app, RunOutcome::NotRun(reason)));
-    match app.core.with(|node, _| node.admit(app, call)) {
+    match app.core.with(|node, cx| node.admit(cx, app, call)) {
         Admission::Refused {
             reason,
             expected_wait,
--- a/crates/edge/src/gate_call.rs
+++ b/crates/edge/src/gate_call.rs
@@ -3,6 +3,8 @@
     time::{Duration, Instant},
 };
 
+use medlarspool_mesh::TargetLimit;
+
 use crate::{forwarded_request::ForwardedRequest, hop_route::HopRoute};
 
 /// A client's request as it is sent to a gate, with the limits and the target of this attempt.
@@ -12,6 +14,8 @@
     /// Whether the request may have arrived at a target in an earlier attempt, and the calls of its run were not
     /// paid for out of the retry budget, since the entry doesn't know them.
     pub(crate) has_unpaid_calls: bool,
+    /// What the entry knows of the target's limit, for a gate that restarted.
+    pub(crate) known_limit: TargetLimit,
     /// How long the request may wait for a slot.
     pub(crate) max_wait: Duration,
     pub(crate) route: HopRoute,
--- a/crates/edge/src/gate_server.rs
+++ b/crates/edge/src/gate_server.rs
@@ -6,6 +6,7 @@
 
 use medlarspool_adapter::headers;
 use medlarspool_hop::{RefusalReason, hop_header, peer_path};
+use medlarspool_mesh::TargetLimit;
 use medlarspool_types::Verdict;
 
 use crate::{
@@ -57,6 +58,8 @@
     let route = HopRoute::decode(text(hop_header::ROUTE)?)?;
     let target_id: Rc<str> = text(hop_header::TARGET)?.into();
     let deadline = arrived_at + millis(headers::DEADLINE_MS)?;
+    let known_limit = text(hop_header::LIMIT).and_then(|number| number.parse().ok());
+    let known_limit = known_limit.map_or(TargetLimit::Unknown, TargetLimit::from_number);
     let max_wait = millis(hop_header::MAX_WAIT_MS)?;
     let fingerprint = u64::from_str_radix(text(hop_header::FINGERPRINT)?, 16).ok()?;
     let id = head.headers.get(headers::REQUEST_ID).cloned();
@@ -78,6 +81,7 @@
         deadline: deadline.max(Instant::now()),
         forwarded: Rc::new(forwarded),
         has_unpaid_calls,
+        known_limit,
         max_wait,
         route,
         target_id,
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -6,7 +6,7 @@
 
 use medlarspool_adapter::headers;
 use medlarspool_hop::{RefusalReason, hop_header};
-use medlarspool_mesh::{CalledService, RetrySafety, TargetLoad};
+use medlarspool_mesh::{CalledService, RetrySafety, TargetLimit, TargetLoad};
 use medlarspool_types::Verdict;
 use tokio::time::timeout_at;
 
@@ -155,6 +155,9 @@
         hop_header::MAX_WAIT_MS,
         call.max_wait.as_millis().to_string(),
     );
+    if let TargetLimit::Limited(_) = call.known_limit {
+        push(hop_header::LIMIT, call.known_limit.to_number().to_string());
+    }
     push(hop_header::ROUTE, call.route.encode());
     push(hop_header::TARGET, call.target_id.to_string());
     if call.has_unpaid_calls {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -45,6 +45,8 @@
     pub(crate) last_crash: Option<(Instant, u64)>,
     /// The number that the next run at the own target gets.
     pub(crate) next_run_number: u64,
+    /// When the next queued request is to be started, while the target's limit holds it back.
+    pub(crate) next_arrival_at: Option<Instant>,
     pub(crate) own_target: OwnTarget,
     pub(crate) queue: GateQueue,
     relays_failed_at: Option<Instant>,
@@ -97,6 +99,7 @@
             invalid_target_header: None,
             last_crash: None,
             next_run_number: 1,
+            next_arrival_at: None,
             own_target: OwnTarget::default(),
             queue: GateQueue::new(0),
             relays_failed_at: None,
@@ -254,7 +257,7 @@
     /// Chooses a target and counts the request as in flight to its daemon.
     pub(crate) fn choose(&mut self, now: Instant, query: &TargetQuery) -> Option<TargetChoice> {
         let own_address = self.settings.peer_address;
-        let load = self.load();
+        let load = self.load(now);
         if let Some(peer) = self.directory.peer_mut(own_address) {
             peer.update_load(now, load);
         }
--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -5,9 +5,10 @@
 
 use medlarspool_hop::RefusalReason;
 use medlarspool_mesh::{
-    AnnouncedState, Announcement, GateDecision, GateRequest, MeshConfig, RouteKey, TargetRecord,
+    AnnouncedState, Announcement, GateDecision, GateRequest, MeshConfig, RouteKey, TargetNotice,
+    TargetRecord,
 };
-use stakker::CX;
+use stakker::{CX, after};
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,6 +42,8 @@
                 self.called_services.clear();
                 self.run_times.clear();
                 self.failure_rate = 0.0;
+                self.queue.limiter.reset(cx.now());
+                self.target_notice = TargetNotice::default();
             }
             self.apply_target_change(cx);
             let state = self
@@ -65,7 +68,7 @@
                 }
             }
         }
-        self.grant_slots(cx.now());
+        self.grant_slots(cx);
         self.schedule_report(cx);
         if let Some(app) = &self.app {
             app.row_changed.notify_one();
@@ -73,7 +76,7 @@
     }
 
     /// Decides whether a request runs now, waits in the queue, or is refused.
-    pub(crate) fn admit(&mut self, app: &Rc<App>, call: &GateCall) -> Admission {
+    pub(crate) fn admit(&mut self, cx: CX![], app: &Rc<App>, call: &GateCall) -> Admission {
         let now = Instant::now();
         let refused = |reason, expected_wait| Admission::Refused {
             reason,
@@ -88,6 +91,7 @@
         if self.crashes.is_quarantined(now, call.forwarded.fingerprint) {
             return refused(RefusalReason::Quarantined, Duration::ZERO);
         }
+        self.queue.limiter.restore(now, call.known_limit);
         let expected_run_time = self
             .run_times
             .expected(call.route.key, call.route.assumed_run_time);
@@ -112,6 +116,7 @@
                     work: RunningWork::of(call),
                 };
                 self.waiters.insert(ticket, waiter);
+                self.schedule_next_arrival(cx);
                 Admission::Waiting {
                     slot_receiver,
                     latest_start: request.latest_start,
@@ -136,10 +141,10 @@
     }
 
     /// Frees the slot of a run and grants it to the next request.
-    pub(crate) fn end_run(&mut self, run_number: u64, expected_run_time: Duration) {
+    pub(crate) fn end_run(&mut self, cx: CX![], run_number: u64, expected_run_time: Duration) {
         self.running.remove(&run_number);
         self.queue.finish(expected_run_time);
-        self.grant_slots(Instant::now());
+        self.grant_slots(cx);
     }
 
     /// Removes a request from the queue, after it was granted a slot, waited too long or was cancelled.
@@ -190,21 +195,41 @@
         }
     }
 
-    /// Grants free slots to waiting requests; a request that was cancelled meanwhile gives its slot back.
-    fn grant_slots(&mut self, now: Instant) {
+    /// Grants free slots to waiting requests, as far as the target's limit allows; a request that was cancelled
+    /// meanwhile gives its slot back.
+    pub(crate) fn grant_slots(&mut self, cx: CX![]) {
         let Some(app) = self.app.clone() else { return };
-        while let Some((ticket, expected_run_time)) = self.queue.start_next(now) {
+        while let Some((ticket, expected_run_time)) = self.queue.start_next(Instant::now()) {
             let Some(waiter) = self.waiters.remove(&ticket) else {
-                self.queue.finish(expected_run_time);
+                self.queue.undo_start(expected_run_time);
                 continue;
             };
             let slot = self.begin_run(&app, waiter.work, expected_run_time);
             if let Err(Ok(slot)) = waiter.slot_sender.send(Ok(slot)) {
                 let (run_number, expected_run_time) = slot.disarm();
                 self.running.remove(&run_number);
-                self.queue.finish(expected_run_time);
+                self.queue.undo_start(expected_run_time);
             }
         }
+        self.schedule_next_arrival(cx);
+    }
+
+    /// Sets a timer for the next queued request if only the target's limit holds it back.
+    fn schedule_next_arrival(&mut self, cx: CX![]) {
+        let now = Instant::now();
+        let Some(wait) = self.queue.wait_for_arrival(now) else {
+            return;
+        };
+        let at = now + wait;
+        if self.next_arrival_at.is_none_or(|known| at < known) {
+            self.next_arrival_at = Some(at);
+            after!(wait, [cx], start_next_arrival());
+        }
+    }
+
+    fn start_next_arrival(&mut self, cx: CX![]) {
+        self.next_arrival_at = None;
+        self.grant_slots(cx);
     }
 }
 
--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -64,6 +64,9 @@
             if !self.follows_relays(now) {
                 app.store_needed.notify_one();
             }
+            if self.queue.limiter.is_unconfirmed(now) {
+                app.limit_unconfirmed.notify_one();
+            }
         }
         after!(REPORT_INTERVAL, [cx], tick());
     }
@@ -90,7 +93,7 @@
             can_relay_config: self.settings.has_fast_link() && self.serving,
             config_version: self.config_version(),
             incarnation: self.incarnation,
-            load: self.load(),
+            load: self.load(now),
             relays_config: self.relays_config(now),
             report_number: self.report_number,
             serving: self.serving && self.own_target.usable().is_some(),
@@ -99,12 +102,13 @@
     }
 
     /// Returns the load of the own target.
-    pub(crate) fn load(&self) -> TargetLoad {
-        let wait = self.queue.expected_wait(u32::MAX);
+    pub(crate) fn load(&self, now: Instant) -> TargetLoad {
+        let wait = self.queue.expected_wait(now, u32::MAX);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let failed_runs_of_256 = (self.failure_rate * 256.0) as u32;
         TargetLoad {
             failed_runs_of_256,
+            limit: self.queue.limiter.limit(),
             running_count: self.queue.running_count(),
             wait_us: u32::try_from(wait.as_micros()).unwrap_or(u32::MAX),
             waiting_calls: u32::try_from(self.queue.waiting_call_count()).unwrap_or(u32::MAX),
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -1,9 +1,12 @@
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use medlarspool_adapter::headers;
 use tokio::time::sleep;
 
-use crate::{app::App, fetch::fetch};
+use crate::{app::App, fetch::fetch, target_headers::read_target_headers};
 
 /// How long a restarted daemon waits for a heartbeat of its target before it probes it.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(50);
@@ -82,3 +85,40 @@
         });
     }
 }
+
+/// Probes the target each time that it has not confirmed its limit by a response for a while, since a target that
+/// takes hardly any requests can't say in their responses that it takes more again.
+///
+/// If the probe's response names no limit, one request may be sent at once, whose response shows whether the limit
+/// still holds.
+pub(crate) async fn confirm_limit(app: Rc<App>) {
+    loop {
+        app.limit_unconfirmed.notified().await;
+        let path_and_id = app.core.with(|node, _| {
+            let config = node.config.as_ref()?;
+            let path = config.health_paths.get(&node.settings.service)?.clone();
+            Some((path, node.own_target.usable()?.id.clone()))
+        });
+        let Some((path, target_id)) = path_and_id else {
+            continue;
+        };
+        app.metrics.probes.inc();
+        let sent_at = Instant::now();
+        let address = app.settings.target_address;
+        let Some((response, reusable)) = fetch(address, &path, PROBE_TIMEOUT).await else {
+            continue;
+        };
+        if let Some(reusable) = reusable {
+            app.target_pool.put(address, reusable);
+        }
+        if response.headers.get(headers::TARGET_LIMIT).is_some() {
+            read_target_headers(&app, &target_id, sent_at, &response.headers);
+        } else {
+            app.core.with(|node, cx| {
+                node.queue.limiter.allow_trial(Instant::now());
+                node.schedule_report(cx);
+                node.grant_slots(cx);
+            });
+        }
+    }
+}
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -30,7 +30,7 @@
     metrics::Metrics,
     node::Node,
     peer_sync::{keep_row, poll_daemon_rows, remove_row},
-    probe::probe_target,
+    probe::{confirm_limit, probe_target},
     readiness::serve_readiness,
     reports::receive_reports,
     run_table::RunTable,
@@ -129,6 +129,7 @@
     spawn_local(keep_row(app.clone()));
     spawn_local(poll_daemon_rows(app.clone()));
     spawn_local(probe_target(app.clone()));
+    spawn_local(confirm_limit(app.clone()));
     spawn_local(watch_settings(app.clone(), path, hangup));
     let timer_app = app.clone();
     spawn_local(async move { timer_app.core.run_timers().await });
@@ -159,6 +160,7 @@
         config_behind: Notify::new(),
         core: Core::new(node),
         in_flight: Cell::new(0),
+        limit_unconfirmed: Notify::new(),
         limits: Cell::new(MessageLimits::default()),
         metrics,
         peer_pool: ConnectionPool::new(MAX_PEER_IDLE_TIME, MAX_IDLE_PER_PEER),
--- a/crates/edge/src/slot_guard.rs
+++ b/crates/edge/src/slot_guard.rs
@@ -29,7 +29,7 @@
     fn drop(&mut self) {
         if let Some(app) = &self.app {
             app.core
-                .with(|node, _| node.end_run(self.run_number, self.expected_run_time));
+                .with(|node, cx| node.end_run(cx, self.run_number, self.expected_run_time));
         }
     }
 }
--- a/crates/edge/src/state_dump.rs
+++ b/crates/edge/src/state_dump.rs
@@ -27,7 +27,7 @@
                 })
             })
             .collect();
-        let load = node.load();
+        let load = node.load(now);
         json!({
             "config_version": node.config.as_ref().map(|config| config.version),
             "incarnation": node.incarnation,
--- a/crates/edge/src/target_headers.rs
+++ b/crates/edge/src/target_headers.rs
@@ -1,26 +1,28 @@
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 
 use bytes::Bytes;
 use medlarspool_adapter::{AdapterError, decode_leaving, decode_limit, headers};
-use medlarspool_mesh::{RequestRate, TargetNotice};
+use medlarspool_mesh::{RequestRate, TargetLimit, TargetNotice};
+use stakker::CX;
 
 use crate::{app::App, header_list::HeaderList, node::Node};
 
-/// Reads what the own target says of itself in the headers of a response.
-pub(crate) fn read_target_headers(app: &Rc<App>, received: &HeaderList) {
-    app.core.with(|node, _| {
-        let known = node.target_notice;
-        let leaving = received.get(headers::TARGET_LEAVING);
-        let limit = received.get(headers::TARGET_LIMIT);
-        let notice = TargetNotice {
-            is_leaving: decode(leaving, decode_leaving).map_or_else(
-                |error| node.keep_known(&error, known.is_leaving),
-                Option::unwrap_or_default,
-            ),
-            limit: decode(limit, decode_limit)
-                .unwrap_or_else(|error| node.keep_known(&error, known.limit)),
-        };
-        node.receive_target_notice(notice);
+/// Applies what target `target_id` says of itself in the headers of the response to a request sent at `sent_at`.
+pub(crate) fn read_target_headers(
+    app: &Rc<App>,
+    target_id: &str,
+    sent_at: Instant,
+    received: &HeaderList,
+) {
+    app.core.with(|node, cx| {
+        if node
+            .own_target
+            .record()
+            .is_some_and(|known| *known.id == *target_id)
+        {
+            let notice = node.decode_notice(received);
+            node.receive_target_notice(cx, sent_at, notice);
+        }
     });
 }
 
@@ -33,6 +35,20 @@
 }
 
 impl Node {
+    fn decode_notice(&mut self, received: &HeaderList) -> TargetNotice {
+        let known = self.target_notice;
+        let leaving = received.get(headers::TARGET_LEAVING);
+        let limit = received.get(headers::TARGET_LIMIT);
+        TargetNotice {
+            is_leaving: decode(leaving, decode_leaving).map_or_else(
+                |error| self.keep_known(&error, known.is_leaving),
+                Option::unwrap_or_default,
+            ),
+            limit: decode(limit, decode_limit)
+                .unwrap_or_else(|error| self.keep_known(&error, known.limit)),
+        }
+    }
+
     /// Returns what is known instead of the value of an invalid header; logs the header, unless it is the one that
     /// was logged last.
     fn keep_known<T>(&mut self, error: &AdapterError, known: T) -> T {
@@ -44,14 +60,29 @@
         known
     }
 
-    fn receive_target_notice(&mut self, notice: TargetNotice) {
-        let known = std::mem::replace(&mut self.target_notice, notice);
-        if known.limit != notice.limit {
-            let limit = notice.limit.map_or(-1.0, RequestRate::requests_per_s);
-            log::info!(event = "target-limit", requests_per_s = limit, running = self.queue.running_count(); "");
-        }
-        if known.is_leaving != notice.is_leaving {
-            log::info!(event = "target-leaving", leaving = notice.is_leaving; "");
+    /// Applies the limit that the target named.
+    ///
+    /// Other daemons are told at once that there is a limit, or none any more; a changed one is in the replies to
+    /// their requests and in the regular reports.
+    fn receive_target_notice(&mut self, cx: CX![], sent_at: Instant, notice: TargetNotice) {
+        let now = cx.now();
+        self.target_notice = notice;
+        let limit_before = self.queue.limiter.limit();
+        self.queue
+            .limiter
+            .receive_response(now, sent_at, notice.limit);
+        let limit = self.queue.limiter.limit();
+        if limit != limit_before && (is_limited(limit) || is_limited(limit_before)) {
+            let requests_per_s = notice.limit.map_or(-1.0, RequestRate::requests_per_s);
+            log::info!(event = "target-limit", requests_per_s = requests_per_s, running = self.queue.running_count(); "");
+            if is_limited(limit) != is_limited(limit_before) {
+                self.schedule_report(cx);
+            }
+            self.grant_slots(cx);
         }
     }
 }
+
+const fn is_limited(limit: TargetLimit) -> bool {
+    matches!(limit, TargetLimit::Limited(_))
+}
--- a/crates/edge/src/target_run.rs
+++ b/crates/edge/src/target_run.rs
@@ -30,6 +30,7 @@
         },
     };
     app.metrics.target_requests.inc();
+    let sent_at = Instant::now();
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     let mut extra = HeaderList::default();
     extra.push(
@@ -56,10 +57,12 @@
             if let Some(reusable) = reusable {
                 app.target_pool.put(address, reusable);
             }
-            read_target_headers(app, &response.headers);
             // A target answers 421 (Misdirected Request) to a request that expects another target.
-            let not_run =
-                response.headers.get(headers::NOT_RUN).is_some() || response.status == 421;
+            let is_misdirected = response.status == 421;
+            if !is_misdirected {
+                read_target_headers(app, &call.target_id, sent_at, &response.headers);
+            }
+            let not_run = response.headers.get(headers::NOT_RUN).is_some() || is_misdirected;
             if not_run {
                 RunOutcome::NotRun(RefusalReason::TargetRefused)
             } else {
--- a/crates/hop/src/hop_header.rs
+++ b/crates/hop/src/hop_header.rs
@@ -9,6 +9,9 @@
 pub const CALLS: &str = "Medlarspool-Calls";
 /// Fingerprint of the request, by which crashes are counted against it; in hexadecimal digits.
 pub const FINGERPRINT: &str = "Medlarspool-Fingerprint";
+/// What the entry knows of the target's limit, as the number of `TargetLimit::to_number`; absent unless there is a
+/// limit.
+pub const LIMIT: &str = "Medlarspool-Limit";
 /// The numbers of a target's load in the order of `TargetLoad::to_numbers`, separated by commas.
 pub const LOAD: &str = "Medlarspool-Load";
 /// How long the request may wait at the gate, in milliseconds.
--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use crate::{GateDecision, GateRequest};
+use crate::{ArrivalLimiter, GateDecision, GateRequest, arrival_limiter::ENDLESS_WAIT};
 
 /// The share of a target's time that calls of running requests get beside clients' requests that are as urgent or
 /// more. Without it, those that are turned away waste the work of the targets that make them.
@@ -18,8 +18,13 @@
 ///
 /// A request is refused on arrival, not after a wait, if the requests ahead of it take longer than it may
 /// wait: a longer queue serves no more requests, it only makes all of them late.
+///
+/// A limit that the target names holds for all requests together: one starts only when there are both a free slot and
+/// an arrival that the limit allows.
 #[derive(Clone, Debug)]
 pub struct GateQueue {
+    /// The limit that the target names.
+    pub limiter: ArrivalLimiter,
     /// The run time that calls may take in advance of more urgent requests.
     call_credit: Duration,
     next_ticket: u64,
@@ -32,8 +37,9 @@
 impl GateQueue {
     /// Creates the queue of a target that runs `slots` requests concurrently.
     #[must_use]
-    pub const fn new(slots: u32) -> Self {
+    pub fn new(slots: u32) -> Self {
         Self {
+            limiter: ArrivalLimiter::default(),
             call_credit: Duration::ZERO,
             next_ticket: 1,
             running_count: 0,
@@ -58,14 +64,16 @@
         request: GateRequest,
         max_wait: Duration,
     ) -> GateDecision {
-        if self.running_count < self.slots && self.waiting.is_empty() {
+        if self.running_count < self.slots && self.waiting.is_empty() && self.limiter.try_take(now)
+        {
             self.start(&request);
             return GateDecision::Start;
         }
         let is_ahead = |ahead: &GateRequest| goes_before(now, ahead, &request);
-        let mut wait = self.wait_behind(1.0, is_ahead);
+        let mut wait = self.wait_behind(now, 1.0, is_ahead);
         if request.is_call {
-            wait = wait.min(self.wait_behind(CALL_SHARE, |ahead| ahead.is_call && is_ahead(ahead)));
+            let is_call_ahead = |ahead: &GateRequest| ahead.is_call && is_ahead(ahead);
+            wait = wait.min(self.wait_behind(now, CALL_SHARE, is_call_ahead));
         }
         if wait > max_wait || now + wait > request.latest_start {
             return GateDecision::Refuse {
@@ -79,30 +87,42 @@
     }
 
     /// Returns how long a new request of this rank would wait, behind all queued ones that are as urgent or more;
-    /// `Duration::MAX` if the target has no slots.
+    /// an hour if the target takes none.
     #[must_use]
-    pub fn expected_wait(&self, rank: u32) -> Duration {
-        self.wait_behind(1.0, |request| request.rank <= rank)
+    pub fn expected_wait(&self, now: Instant, rank: u32) -> Duration {
+        self.wait_behind(now, 1.0, |request| request.rank <= rank)
+    }
+
+    /// Returns the expected wait for a start behind the running requests and those queued requests for which
+    /// `is_ahead` returns true, if these get `share` of the time and of the arrivals that the limit allows.
+    fn wait_behind(
+        &self,
+        now: Instant,
+        share: f64,
+        is_ahead: impl Fn(&GateRequest) -> bool,
+    ) -> Duration {
+        let (mut ahead, mut ahead_count) = (Duration::ZERO, 0.0);
+        for (_, request) in &self.waiting {
+            if is_ahead(request) {
+                ahead += request.expected_run_time;
+                ahead_count += 1.0;
+            }
+        }
+        self.slot_wait(ahead.div_f64(share))
+            .max(self.limiter.wait(now, ahead_count / share))
     }
 
-    /// Returns the expected wait for a slot behind the running requests and those queued requests for which
-    /// `is_ahead` returns true, if these get `share` of the time.
-    fn wait_behind(&self, share: f64, is_ahead: impl Fn(&GateRequest) -> bool) -> Duration {
+    /// Returns the expected wait for a slot behind the running requests and queued ones that take `ahead` together.
+    fn slot_wait(&self, ahead: Duration) -> Duration {
         if self.slots == 0 {
-            return Duration::MAX;
+            return ENDLESS_WAIT;
         }
         if self.running_count < self.slots && self.waiting.is_empty() {
             return Duration::ZERO;
         }
-        let ahead: Duration = self
-            .waiting
-            .iter()
-            .filter(|(_, request)| is_ahead(request))
-            .map(|(_, request)| request.expected_run_time)
-            .sum();
         // Running requests are half done on average; the first one to finish frees a slot.
         let mean_remaining = self.running_expected_time / 2 / self.running_count.max(1);
-        ahead.div_f64(share) / self.slots + mean_remaining / self.slots
+        ahead / self.slots + mean_remaining / self.slots
     }
 
     /// Frees the slot of a run that ended; `expected_run_time` is the time that was expected when it started.
@@ -111,6 +131,12 @@
         self.running_expected_time = self.running_expected_time.saturating_sub(expected_run_time);
     }
 
+    /// Undoes the start of a request that was not sent to the target.
+    pub fn undo_start(&mut self, expected_run_time: Duration) {
+        self.finish(expected_run_time);
+        self.limiter.give_back();
+    }
+
     /// Removes a queued request that was abandoned.
     pub fn cancel(&mut self, ticket: u64) {
         self.waiting.retain(|(other, _)| *other != ticket);
@@ -121,12 +147,16 @@
         self.waiting.drain(..).map(|(ticket, _)| ticket).collect()
     }
 
-    /// Starts the next queued request if a slot is free; returns its ticket and its expected run time.
+    /// Starts the next queued request if a slot is free and the limit allows it; returns its ticket and its expected
+    /// run time.
     pub fn start_next(&mut self, now: Instant) -> Option<(u64, Duration)> {
         if self.running_count >= self.slots {
             return None;
         }
         let first = self.first_waiting(now, |_| true)?;
+        if !self.limiter.try_take(now) {
+            return None;
+        }
         let first_rank = self.waiting[first].1.rank;
         let passed_over = |request: &GateRequest| request.is_call && request.rank >= first_rank;
         let index = match self.first_waiting(now, passed_over) {
@@ -138,6 +168,14 @@
         Some((ticket, request.expected_run_time))
     }
 
+    /// Returns how long the limit alone holds back the next queued request; none if nothing waits, or a slot has to
+    /// become free first.
+    #[must_use]
+    pub fn wait_for_arrival(&self, now: Instant) -> Option<Duration> {
+        let has_slot_for_next = self.running_count < self.slots && !self.waiting.is_empty();
+        has_slot_for_next.then(|| self.limiter.wait(now, 0.0))
+    }
+
     /// Returns the index of the queued request that goes first among those that `is_eligible`.
     fn first_waiting(
         &self,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod announced_state;
 mod announcement;
+mod arrival_limiter;
 mod called_service;
 mod called_services;
 mod crash_list;
@@ -28,6 +29,7 @@
 mod run_times;
 mod site_settings;
 mod target_choice;
+mod target_limit;
 mod target_load;
 mod target_notice;
 mod target_query;
@@ -37,6 +39,7 @@
 
 pub use announced_state::AnnouncedState;
 pub use announcement::Announcement;
+pub use arrival_limiter::ArrivalLimiter;
 pub use called_service::CalledService;
 pub use called_services::CalledServices;
 pub use crash_list::CrashList;
@@ -60,6 +63,7 @@
 pub use run_times::RunTimes;
 pub use site_settings::SiteSettings;
 pub use target_choice::TargetChoice;
+pub use target_limit::TargetLimit;
 pub use target_load::TargetLoad;
 pub use target_notice::TargetNotice;
 pub use target_query::TargetQuery;
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -1,6 +1,9 @@
 use std::time::{Duration, Instant};
 
-use crate::{PeerRecord, RouteKey, RunTimes, TargetLoad, TargetRecord, gate_queue::CALL_SHARE};
+use crate::{
+    PeerRecord, RequestRate, RouteKey, RunTimes, TargetLimit, TargetLoad, TargetRecord,
+    arrival_limiter::ENDLESS_WAIT, gate_queue::CALL_SHARE,
+};
 
 /// How long a reported load is used; after that, only this daemon's own requests in flight are counted.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1_500);
@@ -49,6 +52,7 @@
             (known, reported) => known.is_none() && reported.is_none(),
         };
         if !is_same_incarnation {
+            self.load.limit = TargetLimit::Unknown;
             self.run_times.clear();
             self.target_since = now;
         }
@@ -59,9 +63,13 @@
     }
 
     /// Sets the load that the target's gate counted, which is taken from a report, a gate's reply or
-    /// the own gate.
+    /// the own gate. A limit that the gate doesn't know, since it restarted, stays as it was.
     pub fn update_load(&mut self, now: Instant, load: TargetLoad) {
+        let known_limit = self.load.limit;
         self.load = load;
+        if load.limit == TargetLimit::Unknown {
+            self.load.limit = known_limit;
+        }
         self.load_at = Some(now);
         self.in_flight_at_load = self.in_flight;
     }
@@ -156,22 +164,60 @@
             .as_ref()
             .map_or(1, |target| target.slots)
             .max(1);
-        let is_load_fresh = self
+        let load_age = self
             .load_at
-            .is_some_and(|at| now.saturating_duration_since(at) < LOAD_MAX_AGE);
-        let gate_count = if is_load_fresh {
-            let sent_since = i64::from(self.in_flight) - i64::from(self.in_flight_at_load);
-            let waiting_count = match self.load.waiting_count(rank) {
-                count if is_call => count.min(shared_count(self.load.waiting_calls)),
-                count => count,
-            };
-            i64::from(self.load.running_count + waiting_count) + sent_since
-        } else {
-            0
+            .map(|at| now.saturating_duration_since(at))
+            .filter(|age| *age < LOAD_MAX_AGE);
+        let waiting_count = match self.load.waiting_count(rank) {
+            count if is_call => count.min(shared_count(self.load.waiting_calls)),
+            count => count,
+        };
+        let sent_since = i64::from(self.in_flight) - i64::from(self.in_flight_at_load);
+        let gate_count = match load_age {
+            Some(_) => i64::from(self.load.running_count + waiting_count) + sent_since,
+            None => 0,
         };
         let total = gate_count.max(i64::from(self.in_flight));
         let ahead = u32::try_from((total + 1 - i64::from(slots)).max(0)).unwrap_or(u32::MAX);
-        expected_run_time * ahead / slots
+        let slot_wait = expected_run_time * ahead / slots;
+        match self.load.limit {
+            TargetLimit::Limited(rate) => {
+                let passed_over = self.load.waiting_count(u32::MAX) - waiting_count;
+                let sent_since = u32::try_from(sent_since).unwrap_or_default();
+                slot_wait.max(self.limit_wait(rate, load_age, passed_over, sent_since))
+            }
+            TargetLimit::Unknown | TargetLimit::Unlimited => slot_wait,
+        }
+    }
+
+    /// Returns how long a request sent now would wait for the target's limit, before `passed_over` of the requests
+    /// queued at the gate and behind the `sent_since` that this daemon sent since the gate's count, whose age is
+    /// `load_age`. Only the latter are used if the count is too old.
+    fn limit_wait(
+        &self,
+        rate: RequestRate,
+        load_age: Option<Duration>,
+        passed_over: u32,
+        sent_since: u32,
+    ) -> Duration {
+        let gate_wait = Duration::from_micros(self.load.wait_us.into());
+        let Some(interval) = rate.interval() else {
+            // The gate knows whether it lets one request arrive to see whether the limit still holds.
+            return if sent_since == 0 {
+                gate_wait
+            } else {
+                ENDLESS_WAIT
+            };
+        };
+        let gate_wait = load_age.map_or(Duration::ZERO, |age| gate_wait.saturating_sub(age));
+        gate_wait.saturating_sub(interval.saturating_mul(passed_over))
+            + interval.saturating_mul(sent_since)
+    }
+
+    /// Returns what the gate last knew of the limit that its target names.
+    #[must_use]
+    pub const fn limit(&self) -> TargetLimit {
+        self.load.limit
     }
 }
 
--- a/crates/mesh/src/target_load.rs
+++ b/crates/mesh/src/target_load.rs
@@ -1,3 +1,5 @@
+use crate::TargetLimit;
+
 /// The number of ranks that a load distinguishes; the last one includes all less urgent ranks.
 const RANK_COUNT: usize = 3;
 
@@ -6,6 +8,8 @@
 pub struct TargetLoad {
     /// The share of recent runs that failed or that the target refused, in 256ths.
     pub failed_runs_of_256: u32,
+    /// What the gate knows of the limit that the target names.
+    pub limit: TargetLimit,
     /// The number of requests that the target runs.
     pub running_count: u32,
     /// The number of queued calls that other targets make while they run requests.
@@ -33,7 +37,7 @@
 
     /// Returns the load as numbers, in the order in which daemons send it.
     #[must_use]
-    pub const fn to_numbers(self) -> [u32; 7] {
+    pub const fn to_numbers(self) -> [u32; 8] {
         let [first, second, all] = self.waiting_up_to_rank;
         [
             self.running_count,
@@ -43,6 +47,7 @@
             second,
             all,
             self.waiting_calls,
+            self.limit.to_number(),
         ]
     }
 
@@ -57,6 +62,7 @@
             failed_runs_of_256: next(),
             waiting_up_to_rank: [next(), next(), next()],
             waiting_calls: next(),
+            limit: TargetLimit::from_number(next()),
         }
     }
 }
