Treat a target's word in a response that it leaves like its announcement

What callers could see: requests sent to a target that had said Server-Leaving in its answers, up to its end. Cause: as with the limit, the header was forwarded and not read; only announcements ended the use of a target. The gate now takes it as the word that the target drains: what waits there goes elsewhere, and the change is reported at once. Entries remember it of an incarnation whatever a restarted gate reports, and tell the gate in the report that follows its start, also if a heartbeat came first.

Tests without a network cover the restarted gate, the entry, a late report and the next incarnation.

--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -11,7 +11,7 @@
     app::App, attempts::Attempts, failure::Failure, forwarded_request::ForwardedRequest,
     gate_call::GateCall, gate_reply::GateReply, hop::forward_to_gate, hop_route::HopRoute,
     in_flight_guard::InFlightGuard, reply::Reply, run_outcome::RunOutcome, stop_phase::StopPhase,
-    units::micros,
+    target_headers::says_it_leaves, units::micros,
 };
 
 /// The shortest remaining time in which a request is still sent to a target.
@@ -324,11 +324,19 @@
         }
     }
 
-    /// Updates the directory with the load and the run time in a gate's reply.
+    /// Updates the directory with the load and the run time in a gate's reply, and with what the target's response
+    /// says of it.
     fn record_reply(&self, app: &Rc<App>, choice: &TargetChoice, reply: &GateReply) {
+        let is_leaving = match &reply.outcome {
+            RunOutcome::Answered(response) => says_it_leaves(&response.headers),
+            RunOutcome::Lost(_) | RunOutcome::NotRun(_) => false,
+        };
         app.core.with(|node, cx| {
             let now = cx.now();
             if let Some(peer) = node.directory.peer_mut(choice.address) {
+                if is_leaving {
+                    peer.mark_leaving(&choice.target_id);
+                }
                 peer.receive_load(now, reply.load);
                 if let Some(run_time) = reply.run.as_ref().and_then(|run| run.run_time) {
                     peer.record_run(self.route.key, run_time, self.route.assumed_run_time());
--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -231,8 +231,10 @@
             self.crashes.record(now, *fingerprint, *id);
         }
         let was_silent = !self.directory.is_alive(now, sender_address);
-        if let Some(target) = report.receiver_target {
-            self.own_target.restore(target);
+        if let Some(target) = report.receiver_target
+            && self.own_target.restore(target)
+        {
+            self.apply_target_change(cx);
         }
         let changes = self.directory.receive_report(now, report.sender);
         if changes.daemon_added || was_silent || report.reply_requested {
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -129,8 +129,10 @@
     let address = report.sender.address;
     app.core.with(|node, cx| {
         if address == app.settings.peer_address {
-            if let Some(target) = report.sender.target {
-                node.own_target.restore(target);
+            if let Some(target) = report.sender.target
+                && node.own_target.restore(target)
+            {
+                node.apply_target_change(cx);
             }
             if report.sender.incarnation > node.incarnation {
                 // The clock was set back since the earlier incarnation.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -6,7 +6,11 @@
 use medlarspool_adapter::headers;
 use tokio::time::sleep;
 
-use crate::{app::App, fetch::fetch, target_headers::read_target_headers};
+use crate::{
+    app::App,
+    fetch::fetch,
+    target_headers::{read_target_headers, says_it_leaves},
+};
 
 /// How long a restarted daemon waits for a heartbeat of its target before it probes it.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(50);
@@ -67,6 +71,9 @@
         app.target_pool.put(address, reusable);
     }
     let id = response.headers.text(headers::TARGET_ID);
+    if says_it_leaves(&response.headers) {
+        return;
+    }
     let slots = response
         .headers
         .text(headers::TARGET_LOAD)
--- a/crates/edge/src/target_headers.rs
+++ b/crates/edge/src/target_headers.rs
@@ -26,6 +26,11 @@
     });
 }
 
+/// Returns whether the headers of a target's response say that it leaves.
+pub(crate) fn says_it_leaves(received: &HeaderList) -> bool {
+    decode(received.get(headers::TARGET_LEAVING), decode_leaving) == Ok(Some(true))
+}
+
 /// Decodes a header that may be absent.
 fn decode<T>(
     value: Option<&Bytes>,
@@ -60,7 +65,7 @@
         known
     }
 
-    /// Applies the limit that the target named.
+    /// Applies the limit that the target named, and ends its use if it leaves.
     ///
     /// Other daemons are told at once that there is a limit, or none any more; a changed one is in the replies to
     /// their requests and in the regular reports.
@@ -80,6 +85,13 @@
             }
             self.grant_slots(cx);
         }
+        if notice.is_leaving
+            && let Some(target) = self.own_target.record().map(|known| known.id.clone())
+            && self.own_target.mark_leaving(&target)
+        {
+            log::info!(event = "target-leaving", target = &*target; "");
+            self.apply_target_change(cx);
+        }
     }
 }
 
--- a/crates/mesh/src/own_target.rs
+++ b/crates/mesh/src/own_target.rs
@@ -58,9 +58,11 @@
     /// Restores what the store or a peer recorded of this target during an earlier incarnation of the daemon.
     ///
     /// A restored target that was ready isn't used until it announces itself or a probe finds it healthy. If a
-    /// record of the same id has no start time, only the start time and the sequence number are restored. Other
-    /// records stay as they are.
-    pub fn restore(&mut self, stored: TargetRecord) {
+    /// record of the same id has no start time, only the start time and the sequence number are restored. Of the same
+    /// incarnation it is restored that it leaves, since it may have said so in a response only. Other records stay as
+    /// they are. Returns whether a usable target isn't usable any more.
+    pub fn restore(&mut self, stored: TargetRecord) -> bool {
+        let was_usable = self.usable().is_some();
         match &mut self.record {
             None => {
                 self.down = stored.is_usable();
@@ -70,8 +72,29 @@
                 known.born_ms = stored.born_ms;
                 known.sequence = known.sequence.max(stored.sequence);
             }
+            Some(known)
+                if known.id == stored.id
+                    && known.born_ms == stored.born_ms
+                    && known.is_usable() =>
+            {
+                known.state = stored.state;
+            }
             Some(_) => {}
         }
+        was_usable && self.usable().is_none()
+    }
+
+    /// Records that target `id` said in a response that it leaves; returns whether it was ready until then.
+    pub fn mark_leaving(&mut self, id: &str) -> bool {
+        let ready = self
+            .record
+            .as_mut()
+            .filter(|record| *record.id == *id && record.is_usable());
+        let is_ready = ready.is_some();
+        if let Some(record) = ready {
+            record.state = AnnouncedState::Draining;
+        }
+        is_ready
     }
 
     /// Records that a probe found target `id` healthy: creates a missing record, or makes a ready target usable
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -1,8 +1,8 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    PeerRecord, RequestRate, RouteKey, RunTimes, TargetLimit, TargetLoad, TargetRecord,
-    arrival_limiter::ENDLESS_WAIT, gate_queue::CALL_SHARE,
+    AnnouncedState, PeerRecord, RequestRate, RouteKey, RunTimes, TargetLimit, TargetLoad,
+    TargetRecord, arrival_limiter::ENDLESS_WAIT, gate_queue::CALL_SHARE,
 };
 
 /// How long a reported load is used; after that, only this daemon's own requests in flight are counted.
@@ -42,13 +42,22 @@
     }
 
     /// Processes a report that the daemon sent about itself, unless a newer one was received.
-    pub fn receive_report(&mut self, now: Instant, record: PeerRecord) {
+    ///
+    /// A target that leaves doesn't become ready again in the same incarnation, also if its daemon restarted and
+    /// doesn't know that it leaves.
+    pub fn receive_report(&mut self, now: Instant, mut record: PeerRecord) {
         let known = (self.record.incarnation, self.record.report_number);
         if (record.incarnation, record.report_number) <= known && self.last_report_at.is_some() {
             return;
         }
-        let is_same_incarnation = match (&self.record.target, &record.target) {
-            (Some(known), Some(reported)) => known.is_same_incarnation(reported),
+        let is_same_incarnation = match (&self.record.target, &mut record.target) {
+            (Some(known), Some(reported)) => {
+                let is_same = known.is_same_incarnation(reported);
+                if is_same && !known.is_usable() && reported.is_usable() {
+                    reported.state = known.state;
+                }
+                is_same
+            }
             (known, reported) => known.is_none() && reported.is_none(),
         };
         if !is_same_incarnation {
@@ -62,6 +71,16 @@
         self.record = record;
     }
 
+    /// Records that target `id` said in a response that it leaves.
+    pub fn mark_leaving(&mut self, id: &str) {
+        if let Some(target) = &mut self.record.target
+            && *target.id == *id
+            && target.is_usable()
+        {
+            target.state = AnnouncedState::Draining;
+        }
+    }
+
     /// Sets the load that the target's gate counted, which is taken from a report, a gate's reply or
     /// the own gate. A limit that the gate doesn't know, since it restarted, stays as it was.
     pub fn update_load(&mut self, now: Instant, load: TargetLoad) {
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -1,4 +1,4 @@
-//! Targets that name a limit for requests.
+//! Targets that name a limit for requests, or say in a response that they leave.
 
 use std::{
     net::SocketAddr,
@@ -6,8 +6,8 @@
 };
 
 use medlarspool_mesh::{
-    AnnouncedState, ArrivalLimiter, GateDecision, GateQueue, GateRequest, Peer, PeerRecord,
-    RequestRate, TargetLimit, TargetLoad, TargetRecord,
+    AnnouncedState, ArrivalLimiter, GateDecision, GateQueue, GateRequest, OwnTarget, Peer,
+    PeerRecord, RequestRate, TargetLimit, TargetLoad, TargetRecord,
 };
 use rstest::rstest;
 
@@ -257,6 +257,49 @@
     assert_eq!(peer.limit(), TargetLimit::Unknown);
 }
 
+/// Guards against an entry that uses a leaving target again, since the gate restarted and doesn't know that it leaves.
+#[test]
+fn an_entry_remembers_that_a_target_said_that_it_leaves() {
+    let now = Instant::now();
+    let load = TargetLoad::default();
+    let mut peer = Peer::new(now, record(5, 1, AnnouncedState::Ready, load));
+    peer.mark_leaving("i-2");
+    assert!(peer.offers_target());
+    peer.mark_leaving("i-1");
+    assert!(!peer.offers_target());
+    peer.receive_report(now, record(5, 2, AnnouncedState::Ready, load));
+    assert!(!peer.offers_target());
+    peer.receive_report(now, record(6, 3, AnnouncedState::Ready, load));
+    assert!(peer.offers_target());
+}
+
+/// Guards against a restarted gate that takes a late heartbeat for the word of a target that had said that it leaves.
+#[test]
+fn a_restarted_gate_learns_from_an_entry_that_its_target_leaves() {
+    let target = |born_ms, state| {
+        record(born_ms, 1, state, TargetLoad::default())
+            .target
+            .unwrap()
+    };
+    let mut own = OwnTarget::default();
+    own.record_healthy_probe(&"i-1".into(), &"skymap".into(), 6);
+    assert!(!own.restore(target(5, AnnouncedState::Ready)));
+    assert!(own.usable().is_some());
+    assert!(!own.restore(target(4, AnnouncedState::Draining)));
+    assert!(own.restore(target(5, AnnouncedState::Draining)));
+    assert!(own.usable().is_none());
+}
+
+#[test]
+fn a_target_is_leaving_once_it_says_so() {
+    let mut own = OwnTarget::default();
+    own.record_healthy_probe(&"i-1".into(), &"skymap".into(), 6);
+    assert!(!own.mark_leaving("i-2"));
+    assert!(own.mark_leaving("i-1"));
+    assert!(!own.mark_leaving("i-1"));
+    assert!(own.usable().is_none());
+}
+
 #[rstest]
 #[case(limited(18.6))]
 #[case(limited(0.0))]
