--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -78,6 +78,10 @@
             .config_at
             .map_or(0, |at| millis(now.saturating_duration_since(at)) / 1_000);
         metrics.config_age.set(clamped(age));
+        let confirmed_age = node.store_confirmed_at.map_or(-1, |at| {
+            clamped(now.saturating_duration_since(at).as_secs())
+        });
+        metrics.store_confirmed_age.set(confirmed_age);
         metrics.crash_suspects.set(clamped(node.crashes.len()));
         let remaining_retries = node.retry_budget.least_remaining(now, alive_count);
         #[allow(clippy::cast_possible_truncation)]
--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -69,7 +69,12 @@
         };
         let result = app.store.call(&app.metrics, &call).await;
         let is_reachable = matches!(result, Ok(_) | Err(StoreError::HistoryDropped));
-        app.core.with(|node, _| node.store_answers = is_reachable);
+        app.core.with(|node, cx| {
+            node.store_answers = is_reachable;
+            if result.is_ok() {
+                node.store_confirmed_at = Some(cx.now());
+            }
+        });
         match result {
             Ok(rows) => {
                 failures = 0;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) retries: IntCounter,
     pub(crate) reports_unsent: IntCounter,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) store_confirmed_age: IntGauge,
     pub(crate) target_connections: IntCounter,
     pub(crate) target_failing: Gauge,
     pub(crate) target_limit: Gauge,
@@ -98,6 +99,10 @@
                 "Calls to the platform's store, by outcome",
                 "outcome",
             )?,
+            store_confirmed_age: registry.gauge(
+                "medlarspool_store_confirmed_age_seconds",
+                "Seconds since the store last answered this daemon's call for the configuration; -1 if it never did",
+            )?,
             target_connections: registry.counter(
                 "medlarspool_target_connections_total",
                 "Connections opened to the target",
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -65,6 +65,8 @@
     /// The distribution of requests to the services of each route that has several.
     pub(crate) service_cycles: HashMap<RouteKey, WeightedRoundRobin>,
     pub(crate) started_at: Instant,
+    /// When the store last confirmed the configuration in force, by an answer to a call for it.
+    pub(crate) store_confirmed_at: Option<Instant>,
     /// Whether the store answered the latest call for the configuration.
     pub(crate) store_answers: bool,
     /// What the own target's latest response said of the target.
@@ -112,6 +114,7 @@
             settings,
             service_cycles: HashMap::new(),
             started_at: now,
+            store_confirmed_at: None,
             store_answers: false,
             target_notice: TargetNotice::default(),
             tick_due_at: None,
