Notice within two seconds that the store's feeds became silent

What callers saw: on real processes, requests on routes that a confirmed version had added were refused with 404 for seconds. Cause reproduced here: a held feed whose connection stays open while nothing comes on it any more. A relay held such a feed for up to 11.5 s, counted as a relay meanwhile, and followers trusted it. The class of the fault: silence taken for the confirmation that nothing is new.

The lead relay, the first one by address, asks the store to hold its feed for 0.8 s only, so feeds that became silent together are found out within 2.3 s, and the others learn of a change from its report. A daemon whose feed was overtaken by a peer gives the feed and the idle connections up, and asks again on a new one with a call that returns at once, as it does after any failed call. The waits on the way are shorter: 0.5 s to gather changes (0.7) and 0.6 s for the own feed (1), so that with a lost report they are 1.6 s of the 2 s allowed and not 2.2 s.

Ruled out: a short feed for each relay, which is six to ten times the calls.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -15,6 +15,8 @@
     /// Notified when a peer reports a newer configuration.
     pub(crate) config_behind: Notify,
     pub(crate) core: Core,
+    /// Notified when a peer has had a newer configuration for longer than this daemon's feed from the store needs.
+    pub(crate) feed_overtaken: Notify,
     /// How many requests and runs a planned stop has to wait for; see [`App::track_work`].
     pub(crate) in_flight: Cell<usize>,
     /// Notified when the target has not confirmed its limit by a response for a while.
--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -7,10 +7,15 @@
 
 use crate::{app::App, fetch::fetch, store_client::backoff, store_error::StoreError};
 
-/// How long the store is asked to hold a feed open, which is a call that returns when there is a change. A lost
-/// connection is noticed at the end of this wait at the latest; until then peers report newer versions.
+/// How long the store is asked to hold a feed open, which is a call that returns when there is a change. A
+/// connection on which nothing comes any more is noticed at the end of this wait, or when a peer reports a newer
+/// version.
 const FEED_WAIT: Duration = Duration::from_secs(10);
 
+/// How long the store is asked to hold the lead relay's feed open. If the feeds of all relays became silent together,
+/// no peer would report a newer version; the lead relay notices it within two seconds, and the others learn from it.
+const LEAD_FEED_WAIT: Duration = Duration::from_millis(800);
+
 /// How long a daemon that isn't elected as a relay asks the store to hold a feed open: shorter than [`FEED_WAIT`],
 /// so that the daemon soon returns to the relays.
 const SHORT_FEED_WAIT: Duration = Duration::from_secs(2);
@@ -18,7 +23,7 @@
 /// How long the next call to the store waits after a change, so that one call returns several changes.
 /// Configurations come in quick succession, and each call is charged. The wait is a part of the two seconds that
 /// a change may take to come into force.
-const CHANGE_GATHER_TIME: Duration = Duration::from_millis(700);
+const CHANGE_GATHER_TIME: Duration = Duration::from_millis(500);
 
 /// How long a daemon behind a slow link waits for a relay's copy before it reads the configuration from the
 /// store for the first time. A relay is known after the second read of the daemons' rows at the latest;
@@ -26,8 +31,9 @@
 const RELAY_COPY_WAIT: Duration = Duration::from_millis(900);
 
 /// How long this daemon waits for its own feed from the store, which is cheaper, before it asks a peer for a
-/// newer version that the peer reported.
-const OWN_FEED_WAIT: Duration = Duration::from_secs(1);
+/// newer version that the peer reported: longer than [`CHANGE_GATHER_TIME`], during which there is no feed. Both, and
+/// the interval of a report that is lost, are parts of the two seconds that a change may take to come into force.
+const OWN_FEED_WAIT: Duration = Duration::from_millis(600);
 
 /// The longest wait for a peer's copy of the configuration.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -48,6 +54,7 @@
     let mut failures = 0;
     // The version of the store's table up to which changes are known; the table is read whole without it.
     let mut last_version = None;
+    let mut is_feed_doubtful = false;
     if !app.settings.has_fast_link() {
         // A timeout means that no relay provided a copy; the store is read then.
         let _ = timeout(RELAY_COPY_WAIT, app.config_arrived.notified()).await;
@@ -64,10 +71,24 @@
             Some(after) => StoreCall::Feed {
                 after,
                 table: CONFIG_TABLE,
-                wait: feed_wait(&app),
+                wait: if is_feed_doubtful {
+                    Duration::ZERO
+                } else {
+                    feed_wait(&app)
+                },
             },
         };
-        let result = app.store.call(&app.metrics, &call).await;
+        let result = tokio::select! {
+            result = app.store.call(&app.metrics, &call) => result,
+            () = app.feed_overtaken.notified() => {
+                log::info!(event = "feed-overtaken"; "");
+                app.store.drop_idle_connections();
+                is_feed_doubtful = true;
+                continue;
+            }
+        };
+        // A call that returns at once shows whether the store can be reached again.
+        is_feed_doubtful = result.is_err();
         let is_reachable = matches!(result, Ok(_) | Err(StoreError::HistoryDropped));
         app.core.with(|node, cx| {
             node.store_answers = is_reachable;
@@ -97,11 +118,16 @@
 }
 
 fn feed_wait(app: &Rc<App>) -> Duration {
-    if app.core.with(|node, cx| node.is_elected_relay(cx.now())) {
-        FEED_WAIT
-    } else {
-        SHORT_FEED_WAIT
-    }
+    app.core.with(|node, cx| {
+        let now = cx.now();
+        if node.is_lead_relay(now) {
+            LEAD_FEED_WAIT
+        } else if node.is_elected_relay(now) {
+            FEED_WAIT
+        } else {
+            SHORT_FEED_WAIT
+        }
+    })
 }
 
 fn apply_row(app: &Rc<App>, row: &StoreRow) {
@@ -144,6 +170,9 @@
             .with(|node, cx| node.config.is_some() && !node.follows_relays(cx.now()));
         if has_own_feed {
             sleep(OWN_FEED_WAIT).await;
+            if app.core.with(|node, cx| node.is_behind_peers(cx.now())) {
+                app.feed_overtaken.notify_waiters();
+            }
         }
         if !fetch_newer(&app).await {
             app.core
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -157,6 +157,19 @@
             && self.directory.is_elected_relay(now, own_address)
     }
 
+    /// Returns whether this daemon is the relay whose feed shows that the store's feeds still work.
+    pub(crate) fn is_lead_relay(&self, now: Instant) -> bool {
+        self.relays_config(now)
+            && self
+                .directory
+                .is_lead_relay(now, self.settings.peer_address)
+    }
+
+    /// Returns whether a peer that is alive has a newer configuration.
+    pub(crate) fn is_behind_peers(&self, now: Instant) -> bool {
+        self.config_version() < self.directory.newest_config_version(now)
+    }
+
     /// Logs whether this daemon follows the store for others, if that has changed.
     pub(crate) fn log_election(&mut self, now: Instant) {
         let is_elected = self.is_elected_relay(now);
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -159,6 +159,7 @@
         config_arrived: Notify::new(),
         config_behind: Notify::new(),
         core: Core::new(node),
+        feed_overtaken: Notify::new(),
         in_flight: Cell::new(0),
         limit_unconfirmed: Notify::new(),
         limits: Cell::new(MessageLimits::default()),
--- a/crates/edge/src/store_client.rs
+++ b/crates/edge/src/store_client.rs
@@ -56,6 +56,11 @@
         result
     }
 
+    /// Drops the idle connections, since those to the store may have become silent.
+    pub(crate) fn drop_idle_connections(&self) {
+        self.pool.clear(self.address);
+    }
+
     /// Sends a call on an idle or a new connection and decodes the response.
     async fn exchange(&self, call: &StoreCall) -> Result<StoreRows, StoreError> {
         let stream = match self.pool.take(self.address) {
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -250,6 +250,16 @@
         before.take(RELAYS_PER_ZONE).count() < RELAYS_PER_ZONE
     }
 
+    /// Returns whether the relay at `address` is the first one by address of the alive relays of all availability zones.
+    #[must_use]
+    pub fn is_lead_relay(&self, now: Instant, address: SocketAddr) -> bool {
+        let relays = self
+            .alive_peers(now)
+            .map(Peer::record)
+            .filter(|record| record.relays_config);
+        relays.map(|record| record.address).min() == Some(address)
+    }
+
     /// Returns whether any daemon that relays the configuration sent a report within the relay silence timeout.
     #[must_use]
     pub fn has_recent_relay(&self, now: Instant) -> bool {
--- a/crates/mesh/tests/directory.rs
+++ b/crates/mesh/tests/directory.rs
@@ -273,3 +273,22 @@
         );
     }
 }
+
+/// Guards against relays that all trust feeds which became silent together: one of the fleet checks its feed.
+#[test]
+fn the_first_alive_relay_of_the_fleet_is_the_lead() {
+    let now = Instant::now();
+    let mut directory = Directory::new("za-1a".into());
+    directory.receive_report(now, with_config(1, 5, false, "za-1a"));
+    directory.receive_report(now, with_config(2, 5, true, "za-1b"));
+    directory.receive_report(now, with_config(3, 5, true, "za-1a"));
+    let lead = |directory: &Directory, now| {
+        let ports = [1, 2, 3];
+        let is_lead = |port: &u16| directory.is_lead_relay(now, record(*port, 1).address);
+        ports.into_iter().filter(is_lead).collect::<Vec<_>>()
+    };
+    assert_eq!(lead(&directory, now), [2]);
+    directory.mark_unreachable(now, record(2, 1).address);
+    assert_eq!(lead(&directory, now), [3]);
+    assert!(lead(&directory, now + Duration::from_mins(1)).is_empty());
+}
