Keep what a target said while its restarted gate doesn't know it yet

Cause, found while following a restart by hand: a daemon that starts reports no target until a heartbeat or a probe. Its peers then replaced their record of the target by none, so the next report counted as a new incarnation: run times, a limit and a leaving were forgotten, and the full report with which peers restore a restarted gate never had a target in it. Peers now keep the target reported last and compare with it.

The new test failed before (no target remembered).

--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -190,7 +190,7 @@
             reply_requested: kind == FullReportKind::Request,
             crashes: self.crashes.latest(MAX_CRASHES_PER_REPORT, None),
             known_peers: self.sample_known_peers(),
-            receiver_target: peer.and_then(|peer| peer.record().target.clone()),
+            receiver_target: peer.and_then(|peer| peer.latest_target().cloned()),
             ..Report::of(self.next_record(now))
         };
         self.send(&report.encode(), to);
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -15,6 +15,8 @@
     pub in_flight: u32,
     /// The value of `in_flight` when the load was updated.
     in_flight_at_load: u32,
+    /// The target that the daemon reported last. A daemon that restarted reports none until it has found it again.
+    latest_target: Option<TargetRecord>,
     last_report_at: Option<Instant>,
     load: TargetLoad,
     load_at: Option<Instant>,
@@ -31,6 +33,7 @@
         Self {
             in_flight: 0,
             in_flight_at_load: 0,
+            latest_target: record.target.clone(),
             last_report_at: None,
             load: record.load,
             load_at: None,
@@ -50,20 +53,8 @@
         if (record.incarnation, record.report_number) <= known && self.last_report_at.is_some() {
             return;
         }
-        let is_same_incarnation = match (&self.record.target, &mut record.target) {
-            (Some(known), Some(reported)) => {
-                let is_same = known.is_same_incarnation(reported);
-                if is_same && !known.is_usable() && reported.is_usable() {
-                    reported.state = known.state;
-                }
-                is_same
-            }
-            (known, reported) => known.is_none() && reported.is_none(),
-        };
-        if !is_same_incarnation {
-            self.load.limit = TargetLimit::Unknown;
-            self.run_times.clear();
-            self.target_since = now;
+        if let Some(reported) = &mut record.target {
+            self.receive_target(now, reported);
         }
         self.last_report_at = Some(now);
         self.unreachable_until = None;
@@ -71,13 +62,30 @@
         self.record = record;
     }
 
+    /// Compares a reported target with the latest one: a new incarnation begins with nothing known of it.
+    fn receive_target(&mut self, now: Instant, reported: &mut TargetRecord) {
+        match &self.latest_target {
+            Some(known) if known.is_same_incarnation(reported) => {
+                if !known.is_usable() && reported.is_usable() {
+                    reported.state = known.state;
+                }
+            }
+            _ => {
+                self.load.limit = TargetLimit::Unknown;
+                self.run_times.clear();
+                self.target_since = now;
+            }
+        }
+        self.latest_target = Some(reported.clone());
+    }
+
     /// Records that target `id` said in a response that it leaves.
     pub fn mark_leaving(&mut self, id: &str) {
-        if let Some(target) = &mut self.record.target
-            && *target.id == *id
-            && target.is_usable()
-        {
-            target.state = AnnouncedState::Draining;
+        let targets = [&mut self.record.target, &mut self.latest_target];
+        for target in targets.into_iter().flatten() {
+            if *target.id == *id && target.is_usable() {
+                target.state = AnnouncedState::Draining;
+            }
         }
     }
 
@@ -133,6 +141,12 @@
         &self.record
     }
 
+    /// Returns the target that the daemon reported last, also if it reports none since it restarted.
+    #[must_use]
+    pub const fn latest_target(&self) -> Option<&TargetRecord> {
+        self.latest_target.as_ref()
+    }
+
     /// Returns whether the daemon reported a target to which requests may be sent.
     #[must_use]
     pub fn offers_target(&self) -> bool {
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -308,3 +308,30 @@
 fn a_limit_is_read_as_it_was_sent(#[case] limit: TargetLimit) {
     assert_eq!(TargetLimit::from_number(limit.to_number()), limit);
 }
+
+/// Guards against an entry that forgets what a target said when the gate restarts and has no record of it at first.
+#[test]
+fn an_entry_remembers_a_target_while_its_restarted_gate_does_not_know_it() {
+    let now = Instant::now();
+    let load = TargetLoad {
+        limit: limited(10.0),
+        ..TargetLoad::default()
+    };
+    let mut peer = Peer::new(now, record(5, 1, AnnouncedState::Ready, load));
+    peer.mark_leaving("i-1");
+    let without_target = PeerRecord {
+        incarnation: 2,
+        target: None,
+        ..record(5, 1, AnnouncedState::Ready, TargetLoad::default())
+    };
+    peer.receive_report(now, without_target);
+    let remembered = peer.latest_target().unwrap();
+    assert_eq!(remembered.state, AnnouncedState::Draining);
+    let restarted = PeerRecord {
+        incarnation: 2,
+        ..record(5, 2, AnnouncedState::Ready, TargetLoad::default())
+    };
+    peer.receive_report(now, restarted);
+    assert!(!peer.offers_target());
+    assert_eq!(peer.limit(), limited(10.0));
+}
