Keep the configuration and the daemons' rows through a store from an older copy

Cause, by reading and by tests that failed first: nothing knew the header Store-Era. A held feed went on from its old version, and a change written under a version that the store gave out again stayed unseen: not in force after 2 s, and not later. Daemons wrote their rows once, so rows that the copy lacked stayed missing (0 of 3 after 2 s).

The era is decoded in platform/ from every answer, errors included, and told in reports. Positions in the store are (era, version). When the era rises, feeds are given up, the configuration is read whole by those that follow the store, and a row written within the last minute is written again. Late answers of the earlier era are dropped.

--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -89,6 +89,9 @@
             .retry_budget_left
             .set(remaining_retries.floor() as i64);
     });
+    metrics
+        .store_era
+        .set(app.store.era_watch.era().map_or(-1, |era| clamped(era.0)));
     metrics
         .log_lines_dropped
         .set(clamped(line_log::dropped_count()));
--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use medlarspool_adapter::{CONFIG_KEY, CONFIG_TABLE, StoreCall, StoreRow};
 use medlarspool_hop::{compress, decompress, peer_path};
+use medlarspool_mesh::StorePosition;
 use tokio::time::{sleep, timeout};
 
-use crate::{app::App, fetch::fetch, store_client::backoff, store_error::StoreError};
+use crate::{app::App, fetch::fetch, node::Node, store_client::backoff, store_error::StoreError};
 
 /// How long the store is asked to hold a feed open, which is a call that returns when there is a change. A
 /// connection on which nothing comes any more is noticed at the end of this wait, or when a peer reports a newer
@@ -41,6 +42,10 @@
 /// The most peers asked for a copy before the store is asked.
 const MAX_PEERS_ASKED: usize = 3;
 
+/// The longest wait before the configuration is read again after the store came back from an older copy, so that not
+/// all that follow the store read it at once.
+const ERA_READ_SPREAD: Duration = Duration::from_millis(300);
+
 /// How long a daemon waits after its first read of the configuration: long enough to hear from the other daemons of
 /// its availability zone, among which the relays are elected.
 const ELECTION_WAIT: Duration = Duration::from_millis(900);
@@ -52,8 +57,10 @@
 /// which delays all other traffic on a slow link. See `docs/design/platform.md`.
 pub(crate) async fn follow_store(app: Rc<App>) {
     let mut failures = 0;
-    // The version of the store's table up to which changes are known; the table is read whole without it.
-    let mut last_version = None;
+    // Up to where changes of the table are known; it is read whole without a position in the store's present era.
+    let mut known_position: Option<StorePosition> = None;
+    let mut was_read = false;
+    let mut known_era = app.store.era();
     let mut is_feed_doubtful = false;
     if !app.settings.has_fast_link() {
         // A timeout means that no relay provided a copy; the store is read then.
@@ -63,22 +70,16 @@
         while app.core.with(|node, cx| node.follows_relays(cx.now())) {
             app.store_needed.notified().await;
         }
-        let call = match last_version {
-            None => StoreCall::Get {
-                from: String::new(),
-                table: CONFIG_TABLE,
-            },
-            Some(after) => StoreCall::Feed {
-                after,
-                table: CONFIG_TABLE,
-                wait: if is_feed_doubtful {
-                    Duration::ZERO
-                } else {
-                    feed_wait(&app)
-                },
-            },
-        };
+        let era = app.store.era();
+        if std::mem::replace(&mut known_era, era) < era {
+            // Followers, which don't call the store, learn of the era from reports.
+            app.core.with(Node::schedule_report);
+        }
+        known_position = known_position.filter(|position| position.era == era);
+        let is_whole_read = known_position.is_none();
+        let call = config_call(&app, known_position, is_feed_doubtful);
         let result = tokio::select! {
+            biased;
             result = app.store.call(&app.metrics, &call) => result,
             () = app.feed_overtaken.notified() => {
                 log::info!(event = "feed-overtaken"; "");
@@ -86,6 +87,12 @@
                 is_feed_doubtful = true;
                 continue;
             }
+            // A held feed of an earlier era is given up, since it may leave out changes.
+            () = app.store.era_watch.raised.notified() => {
+                app.store.drop_idle_connections();
+                sleep(ERA_READ_SPREAD.mul_f64(fastrand::f64())).await;
+                continue;
+            }
         };
         // A call that returns at once shows whether the store can be reached again.
         is_feed_doubtful = result.is_err();
@@ -97,18 +104,21 @@
             }
         });
         match result {
-            Ok(rows) => {
+            Ok(answer) => {
                 failures = 0;
-                for row in &rows.rows {
+                for row in &answer.rows {
                     apply_row(&app, row);
                 }
-                match last_version.replace(rows.version) {
-                    None => sleep(ELECTION_WAIT).await,
-                    Some(_) if !rows.rows.is_empty() => sleep(CHANGE_GATHER_TIME).await,
-                    Some(_) => {}
+                // A feed of an earlier era may leave out changes.
+                let is_complete = is_whole_read || answer.position.era == era;
+                known_position = is_complete.then_some(answer.position);
+                if !std::mem::replace(&mut was_read, true) {
+                    sleep(ELECTION_WAIT).await;
+                } else if !answer.rows.is_empty() {
+                    sleep(CHANGE_GATHER_TIME).await;
                 }
             }
-            Err(StoreError::HistoryDropped) => last_version = None,
+            Err(StoreError::HistoryDropped) => known_position = None,
             Err(_) => {
                 sleep(backoff(failures)).await;
                 failures += 1;
@@ -117,6 +127,30 @@
     }
 }
 
+/// Returns the call that reads what changed since a position, or all without one. A feed that is doubtful is to return
+/// at once, to show whether the store can be reached.
+fn config_call(
+    app: &Rc<App>,
+    known_position: Option<StorePosition>,
+    is_feed_doubtful: bool,
+) -> StoreCall {
+    match known_position {
+        None => StoreCall::Get {
+            from: String::new(),
+            table: CONFIG_TABLE,
+        },
+        Some(position) => StoreCall::Feed {
+            after: position.version,
+            table: CONFIG_TABLE,
+            wait: if is_feed_doubtful {
+                Duration::ZERO
+            } else {
+                feed_wait(app)
+            },
+        },
+    }
+}
+
 fn feed_wait(app: &Rc<App>) -> Duration {
     app.core.with(|node, cx| {
         let now = cx.now();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) reports_unsent: IntCounter,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) store_confirmed_age: IntGauge,
+    pub(crate) store_era: IntGauge,
     pub(crate) target_connections: IntCounter,
     pub(crate) target_failing: Gauge,
     pub(crate) target_limit: Gauge,
@@ -103,6 +104,10 @@
                 "medlarspool_store_confirmed_age_seconds",
                 "Seconds since the store last answered this daemon's call for the configuration; -1 if it never did",
             )?,
+            store_era: registry.gauge(
+                "medlarspool_store_era",
+                "How often the platform's store came back from an older copy; -1 if it doesn't say",
+            )?,
             target_connections: registry.counter(
                 "medlarspool_target_connections_total",
                 "Connections opened to the target",
--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -5,7 +5,7 @@
 };
 
 use medlarspool_hop::Report;
-use medlarspool_mesh::{PeerRecord, TargetLoad};
+use medlarspool_mesh::{PeerRecord, StoreEra, TargetLoad};
 use stakker::{CX, after};
 
 use crate::{app::App, full_report_kind::FullReportKind, node::Node};
@@ -157,6 +157,7 @@
         let follows_this_relay = |address| is_relay && self.directory.is_follower(now, address);
         let oldest_crash = now.checked_sub(CRASH_REPORT_PERIOD);
         let mut report = Report {
+            store_era: self.store_era(),
             crashes: self.crashes.latest(MAX_CRASHES_PER_REPORT, oldest_crash),
             ..Report::of(record)
         };
@@ -191,11 +192,17 @@
             crashes: self.crashes.latest(MAX_CRASHES_PER_REPORT, None),
             known_peers: self.sample_known_peers(),
             receiver_target: peer.and_then(|peer| peer.latest_target().cloned()),
+            receiver_incarnation: peer.map_or(0, |peer| peer.record().incarnation),
+            store_era: self.store_era(),
             ..Report::of(self.next_record(now))
         };
         self.send(&report.encode(), to);
     }
 
+    fn store_era(&self) -> Option<StoreEra> {
+        self.app.as_ref().and_then(|app| app.store.era_watch.era())
+    }
+
     fn send(&self, report: &[u8], to: SocketAddr) {
         let Some(app) = &self.app else { return };
         if let Err(error) = app.report_socket.send_to(report, to) {
@@ -230,6 +237,13 @@
         for (fingerprint, id) in &report.crashes {
             self.crashes.record(now, *fingerprint, *id);
         }
+        if report.receiver_incarnation > self.incarnation {
+            // The clock was set back, and the store doesn't have the row of the earlier incarnation.
+            self.incarnation = report.receiver_incarnation + 1;
+        }
+        if let (Some(era), Some(app)) = (report.store_era, &self.app) {
+            app.store.era_watch.learn(era, "peer");
+        }
         let was_silent = !self.directory.is_alive(now, sender_address);
         if let Some(target) = report.receiver_target
             && self.own_target.restore(target)
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -1,4 +1,7 @@
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use medlarspool_adapter::{StoreCall, StoreWrite};
 use medlarspool_hop::Report;
@@ -23,6 +26,16 @@
 /// at the same time didn't learn of each other from the rows or from others.
 const READ_INTERVAL: Duration = Duration::from_mins(2);
 
+/// How old a copy from which the store comes back may be. A row that was written longer ago is in it.
+const MAX_COPY_AGE: Duration = Duration::from_mins(1);
+
+/// The time over which the daemons of a fleet write their rows again after the store came back from an older copy.
+const ERA_WRITE_SPREAD: Duration = Duration::from_millis(800);
+
+/// The mean interval at which a daemon that started recently reads the rows while it knows no other one that is alive:
+/// the store may have come back from a copy without the others' rows, which they are about to write again.
+const LONELY_READ_INTERVAL: Duration = Duration::from_secs(3);
+
 /// How long a write of the own row waits for further changes.
 const CHANGE_GATHER_TIME: Duration = Duration::from_millis(150);
 
@@ -38,8 +51,22 @@
     }
     loop {
         write_row(&app).await;
-        app.row_changed.notified().await;
-        sleep(CHANGE_GATHER_TIME).await;
+        let written_at = Instant::now();
+        loop {
+            tokio::select! {
+                () = app.row_changed.notified() => {
+                    sleep(CHANGE_GATHER_TIME).await;
+                    break;
+                }
+                () = app.store.era_watch.raised.notified() => {
+                    if written_at.elapsed() < MAX_COPY_AGE {
+                        sleep(ERA_WRITE_SPREAD.mul_f64(fastrand::f64())).await;
+                        log::info!(event = "row-written-again", era = app.store.era().0; "");
+                        break;
+                    }
+                }
+            }
+        }
     }
 }
 
@@ -78,6 +105,7 @@
 
 /// Reads the daemons' rows at the start and then at random intervals.
 pub(crate) async fn poll_daemon_rows(app: Rc<App>) {
+    let started_at = Instant::now();
     let mut wait = SECOND_READ_AFTER;
     loop {
         let mut failures = 0;
@@ -88,11 +116,18 @@
         app.rows_read.notify_waiters();
         app.rows_were_read.set(true);
         sleep(wait.mul_f64(0.75 + fastrand::f64() * 0.5)).await;
-        let known_count = app.core.with(|node, _| node.directory.peers().count());
+        let (known_count, alive_count) = app.core.with(|node, cx| {
+            let alive_count = node.directory.alive_count(cx.now());
+            (node.directory.peers().count(), alive_count)
+        });
         if wait < READ_INTERVAL && known_count >= WELL_CONNECTED_COUNT {
             sleep(READ_INTERVAL).await;
         }
-        wait = READ_INTERVAL;
+        wait = if alive_count > 1 || started_at.elapsed() > MAX_COPY_AGE {
+            READ_INTERVAL
+        } else {
+            LONELY_READ_INTERVAL
+        };
     }
 }
 
--- a/crates/edge/src/state_dump.rs
+++ b/crates/edge/src/state_dump.rs
@@ -41,6 +41,7 @@
             "relay_elected_ms": node.elected_at.map(|at| millis(now.saturating_duration_since(at))),
             "relays_config": node.relays_config(now),
             "serving": node.serving,
+            "store_era": app.store.era_watch.era().map(|era| era.0),
             "store_confirmed_ms": node.store_confirmed_at.map(|at| millis(now.saturating_duration_since(at))),
             "target": node.own_target.record().map(|target| json!({
                 "born_ms": target.born_ms,
--- a/crates/edge/src/store_client.rs
+++ b/crates/edge/src/store_client.rs
@@ -1,12 +1,18 @@
-use std::{cell::Cell, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use medlarspool_adapter::{StoreCall, StoreRows};
+use medlarspool_mesh::{StoreEra, StorePosition};
 use tokio::time::timeout;
 
 use crate::{
     byte_stream::ByteStream, connection_pool::ConnectionPool, metrics::Metrics,
-    own_exchange::own_exchange, store_error::StoreError,
+    own_exchange::own_exchange, store_answer::StoreAnswer, store_era_watch::StoreEraWatch,
+    store_error::StoreError,
 };
 
 /// The time limit of a call, beyond the wait that a feed asks for. The store usually answers within some
@@ -22,6 +28,7 @@
 /// The client of the platform's store; all calls to the store go through it.
 pub(crate) struct StoreClient {
     address: SocketAddr,
+    pub(crate) era_watch: StoreEraWatch,
     is_reachable: Cell<bool>,
     pool: ConnectionPool,
 }
@@ -30,18 +37,19 @@
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            era_watch: StoreEraWatch::default(),
             is_reachable: Cell::new(true),
             pool: ConnectionPool::new(MAX_IDLE_TIME, 2),
         }
     }
 
     /// Makes a call. A write that fails with [`StoreError::NoAnswer`] may have been done, or may be done
-    /// later.
+    /// later. One that fails with [`StoreError::EarlierEra`] was done, and is lost.
     pub(crate) async fn call(
         &self,
         metrics: &Metrics,
         call: &StoreCall,
-    ) -> Result<StoreRows, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let time_limit = match call {
             StoreCall::Feed { wait, .. } => *wait + CALL_TIMEOUT,
             StoreCall::Get { .. } | StoreCall::Remove { .. } | StoreCall::Write(_) => CALL_TIMEOUT,
@@ -62,7 +70,8 @@
     }
 
     /// Sends a call on an idle or a new connection and decodes the response.
-    async fn exchange(&self, call: &StoreCall) -> Result<StoreRows, StoreError> {
+    async fn exchange(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+        let sent_at = Instant::now();
         let stream = match self.pool.take(self.address) {
             Some(stream) => stream,
             None => ByteStream::connect(self.address, CONNECT_TIMEOUT)
@@ -77,18 +86,39 @@
         if let Some(reusable) = reusable {
             self.pool.put(self.address, reusable);
         }
+        if !self.era_watch.accepts_answer(sent_at, &response.headers) {
+            return Err(StoreError::EarlierEra);
+        }
         let status = response.status;
         let body_bytes = response.whole_body().await;
         let body_bytes = body_bytes.map_err(|_| StoreError::NoAnswer)?;
         match status {
-            200 => StoreRows::decode(&body_bytes).map_err(StoreError::InvalidResponse),
+            200 => StoreRows::decode(&body_bytes)
+                .map(|rows| self.answer_of(rows))
+                .map_err(StoreError::InvalidResponse),
             410 => Err(StoreError::HistoryDropped),
             other => Err(StoreError::Status(other)),
         }
     }
 
+    fn answer_of(&self, rows: StoreRows) -> StoreAnswer {
+        StoreAnswer {
+            has_more: rows.has_more,
+            position: StorePosition {
+                era: self.era(),
+                version: rows.version,
+            },
+            rows: rows.rows,
+        }
+    }
+
+    /// Returns the era of the store; zero before its first answer.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era_watch.era().unwrap_or_default()
+    }
+
     /// Logs when the store becomes unreachable and when it is reachable again.
-    fn log_reachability(&self, result: &Result<StoreRows, StoreError>) {
+    fn log_reachability(&self, result: &Result<StoreAnswer, StoreError>) {
         let is_reachable = matches!(result, Ok(_) | Err(StoreError::HistoryDropped));
         if self.is_reachable.replace(is_reachable) != is_reachable {
             match result {
@@ -112,8 +142,9 @@
     upper_bound.mul_f64(0.5 + fastrand::f64() * 0.5)
 }
 
-fn outcome(result: &Result<StoreRows, StoreError>) -> &'static str {
+fn outcome(result: &Result<StoreAnswer, StoreError>) -> &'static str {
     match result {
+        Err(StoreError::EarlierEra) => "earlier_era",
         Err(StoreError::InvalidResponse(_)) => "invalid",
         Err(StoreError::HistoryDropped) => "history_dropped",
         Err(StoreError::NoAnswer) => "no_answer",
--- a/crates/edge/src/store_error.rs
+++ b/crates/edge/src/store_error.rs
@@ -4,6 +4,8 @@
 /// Why a call to the store failed.
 #[derive(Debug, Display)]
 pub(crate) enum StoreError {
+    /// the answer is of an earlier era of the store
+    EarlierEra,
     /// the store's answer can't be read: {0}
     InvalidResponse(AdapterError),
     /// the store has dropped the history asked for
--- a/crates/hop/src/report.rs
+++ b/crates/hop/src/report.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use medlarspool_mesh::{AnnouncedState, PeerRecord, TargetLoad, TargetRecord};
+use medlarspool_mesh::{AnnouncedState, PeerRecord, StoreEra, TargetLoad, TargetRecord};
 use prost::Message;
 
 use crate::{
@@ -25,6 +25,10 @@
     pub sender: PeerRecord,
     /// The sender's record of the receiver's target, from which a receiver that has just started restores its own.
     pub receiver_target: Option<TargetRecord>,
+    /// The latest incarnation of the receiver that the sender knows; 0 if it knows none.
+    pub receiver_incarnation: u64,
+    /// The era of the platform's store, if the sender knows it.
+    pub store_era: Option<StoreEra>,
 }
 
 impl Report {
@@ -37,6 +41,8 @@
             known_peers: Vec::new(),
             sender,
             receiver_target: None,
+            receiver_incarnation: 0,
+            store_era: None,
         }
     }
 
@@ -66,6 +72,8 @@
             serving: self.sender.serving,
             target: self.sender.target.as_ref().map(encode_target),
             receiver_target: self.receiver_target.as_ref().map(encode_target),
+            receiver_incarnation: self.receiver_incarnation,
+            store_era_and_one: self.store_era.map_or(0, |era| era.0.saturating_add(1)),
         }
         .encode_to_vec()
     }
@@ -107,6 +115,8 @@
                 .as_ref()
                 .map(decode_target)
                 .transpose()?,
+            receiver_incarnation: message.receiver_incarnation,
+            store_era: message.store_era_and_one.checked_sub(1).map(StoreEra),
         })
     }
 }
--- a/crates/hop/src/report_message.rs
+++ b/crates/hop/src/report_message.rs
@@ -33,6 +33,11 @@
     // 0: can't relay the configuration, 1: relays it, 2: can relay it. Earlier versions send 0 or 1.
     #[prost(uint32, tag = "14")]
     pub(crate) relay: u32,
+    // One more than the era, so that 0 means that the sender doesn't know it.
+    #[prost(uint64, tag = "15")]
+    pub(crate) store_era_and_one: u64,
+    #[prost(uint64, tag = "16")]
+    pub(crate) receiver_incarnation: u64,
 }
 
 /// The encoded form of a `TargetRecord`.
