Simulate limited targets under load, and let only the latest timer start an arrival

Two load patterns without a network: a third of the targets limited to a third beside ones with room (over 0.99 served), and half of them limited in a lasting overload (over 0.9 of what limits and targets allow is served, and refusals take under 0.2 s).

Found while writing them: each queued request may set a timer, and one that was replaced by an earlier one set the next one anew, so timers could multiply while the queue stays filled. A timer that isn't the latest now does nothing.

--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -216,7 +216,7 @@
 
     /// Sets a timer for the next queued request if only the target's limit holds it back.
     fn schedule_next_arrival(&mut self, cx: CX![]) {
-        let now = Instant::now();
+        let now = cx.now();
         let Some(wait) = self.queue.wait_for_arrival(now) else {
             return;
         };
@@ -227,7 +227,11 @@
         }
     }
 
+    /// Starts the next queued request, unless the timer that calls this was replaced by one that is due later.
     fn start_next_arrival(&mut self, cx: CX![]) {
+        if self.next_arrival_at.is_some_and(|at| cx.now() < at) {
+            return;
+        }
         self.next_arrival_at = None;
         self.grant_slots(cx);
     }
--- a/crates/mesh/tests/load/scene.rs
+++ b/crates/mesh/tests/load/scene.rs
@@ -33,6 +33,8 @@
     pub burst: Option<(Duration, Duration, f64)>,
     pub entry_count: usize,
     pub kinds: Vec<RequestKind>,
+    /// How many targets, the ones with the lowest indices, name a limit, and the requests per second that it allows.
+    pub limited_targets: Option<(usize, f64)>,
     /// How long requests arrive.
     pub duration: Duration,
     /// When targets are lost together with their daemons, and how many; the ones with the lowest indices are lost.
--- a/crates/mesh/tests/load_patterns.rs
+++ b/crates/mesh/tests/load_patterns.rs
@@ -17,6 +17,7 @@
         entry_count: 16,
         kinds: vec![map_read(requests_per_s)],
         duration: Duration::from_secs(20),
+        limited_targets: None,
         lost_targets: None,
         run_time_deviation: 0.3,
         slots: SLOTS,
@@ -158,3 +159,47 @@
 fn a_target_present_at_startup_does_not_count_as_joining() {
     assert!(!load::joining_target_is_chosen(Duration::from_secs(1)));
 }
+
+/// A third of the targets takes a third of what it could; the others have room for the rest.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn limited_targets_beside_ones_with_room(#[case] seed: u64) {
+    let all = scenario(0.6, &[1.0; 6]);
+    let limit = capacity(SLOTS, &[1.0], Duration::from_millis(60)) / 3.0;
+    let limited = Scenario {
+        limited_targets: Some((2, limit)),
+        ..all
+    };
+    let product = simulate(&limited, Policy::Product, seed)[0];
+    assert!(product.share_served() > 0.99, "{product:?}");
+}
+
+/// More is asked for than the limits and the other targets allow: nearly all that they allow is used, and the rest is
+/// refused early.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn limited_targets_in_a_lasting_overload(#[case] seed: u64) {
+    const LIMITED_COUNT: usize = 3;
+    let all = scenario(0.9, &[1.0; 6]);
+    let per_target = capacity(SLOTS, &[1.0], Duration::from_millis(60));
+    let limit = per_target / 3.0;
+    let limited = Scenario {
+        limited_targets: Some((LIMITED_COUNT, limit)),
+        ..all
+    };
+    let allowed = 3.0 * per_target + 3.0 * limit;
+    let product = simulate(&limited, Policy::Product, seed)[0];
+    let served = product.share_served() * f64::from(product.sent_count) / 20.0;
+    assert!(
+        served > 0.9 * allowed,
+        "{served} of {allowed} a second, {product:?}"
+    );
+    assert!(
+        product.longest_refused_wait < Duration::from_millis(200),
+        "{product:?}"
+    );
+}
