--- a/crates/daemon/tests/site_process/mod.rs
+++ b/crates/daemon/tests/site_process/mod.rs
@@ -15,7 +15,7 @@
 pub struct SiteProcess {
     pub child: Child,
     pub daemon: Daemon,
-    _settings: tempfile::NamedTempFile,
+    settings: tempfile::NamedTempFile,
 }
 
 impl SiteProcess {
@@ -37,10 +37,17 @@
         Self {
             child: spawn(&settings, Stdio::piped()),
             daemon: Daemon { ip, target },
-            _settings: settings,
+            settings,
         }
     }
 
+    /// Kills the program and starts it again at once; its target goes on.
+    pub fn kill_and_restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings, Stdio::piped());
+    }
+
     pub fn signal(&self, name: &str) {
         signal(&self.child, name);
     }
