--- /dev/null
+++ b/crates/daemon/tests/incarnation.rs
@@ -0,0 +1,55 @@
+//! A daemon whose clock was set back still gets a greater incarnation than its earlier ones.
+
+#[allow(dead_code)]
+#[path = "../../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+#[allow(dead_code)]
+mod site_process;
+
+use std::net::{IpAddr, SocketAddr, UdpSocket};
+
+use medlarspool_hop::Report;
+use medlarspool_mesh::{PeerRecord, TargetLoad};
+use site_process::SiteProcess;
+use stand_in::{
+    daemon::{base64, config, wait_until},
+    store::Store,
+    target::Behaviour,
+};
+
+/// Guards against reports that peers ignore as older ones, where the store lost the row of the earlier incarnation.
+#[test]
+fn a_daemon_takes_a_greater_incarnation_than_the_one_its_peers_know() {
+    const KNOWN_INCARNATION: u64 = 9_000_000_000_000;
+    let ip = |last| IpAddr::from([127, 84, 1, last]);
+    let store_address = SocketAddr::new(ip(250), 18_309);
+    let store = Store::start(store_address);
+    store.put("op", "config", &base64(config(1, "skymap").as_bytes()));
+    let behaviour = Behaviour::SendsWholeAfterMs(1);
+    let process = SiteProcess::start(ip(1), store_address, "skymap", behaviour);
+    wait_until("readiness", || process.daemon.readiness() == 200);
+    let peer_address = SocketAddr::new(ip(2), 18_310);
+    let report = Report {
+        receiver_incarnation: KNOWN_INCARNATION,
+        ..Report::of(PeerRecord {
+            address: peer_address,
+            availability_zone: "za-1a".into(),
+            can_relay_config: false,
+            config_version: 1,
+            incarnation: 1,
+            load: TargetLoad::default(),
+            relays_config: false,
+            report_number: 1,
+            serving: false,
+            target: None,
+        })
+    };
+    let socket = UdpSocket::bind(peer_address).unwrap();
+    let daemon_address = process.daemon.address(18_310);
+    socket.send_to(&report.encode(), daemon_address).unwrap();
+    let expected = format!("\"incarnation\":{},", KNOWN_INCARNATION + 1);
+    wait_until("the greater incarnation", || {
+        process.daemon.dump().contains(&expected)
+    });
+}
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -27,7 +27,7 @@
 const READ_INTERVAL: Duration = Duration::from_mins(2);
 
 /// How old a copy from which the store comes back may be. A row that was written longer ago is in it.
-const MAX_COPY_AGE: Duration = Duration::from_mins(1);
+const MAX_COPY_AGE: Duration = Duration::from_secs(30);
 
 /// The time over which the daemons of a fleet write their rows again after the store came back from an older copy.
 const ERA_WRITE_SPREAD: Duration = Duration::from_millis(800);
