Keep limit and leaving of a target that was found by a probe

Found by reading: after a restart a probe may find the target before its heartbeat, without its start time. The heartbeat then counted as a new incarnation, and the limit and run times were forgotten; and a late heartbeat that says ready undid that the target had said it leaves. A record without a start time is now taken for the same incarnation, announcements within ten seconds after it left are late, and the probe's own response is read for limit and leaving.

The new test failed before (the late heartbeat made the target usable).

--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -6,7 +6,6 @@
 use medlarspool_hop::RefusalReason;
 use medlarspool_mesh::{
     AnnouncedState, Announcement, GateDecision, GateRequest, MeshConfig, RouteKey, TargetNotice,
-    TargetRecord,
 };
 use stakker::{CX, after};
 use tokio::sync::oneshot;
@@ -34,11 +33,13 @@
         {
             return false;
         }
-        let incarnation_of =
-            |record: Option<&TargetRecord>| record.map(|known| (known.id.clone(), known.born_ms));
-        let incarnation_before = incarnation_of(self.own_target.record());
+        let known = self.own_target.record().cloned();
         if self.own_target.receive_announcement(cx.now(), announcement) {
-            if incarnation_before != incarnation_of(self.own_target.record()) {
+            let announced = self.own_target.record();
+            let is_same = known
+                .zip(announced)
+                .is_some_and(|(known, announced)| known.is_same_incarnation(announced));
+            if !is_same {
                 self.called_services.clear();
                 self.run_times.clear();
                 self.failure_rate = 0.0;
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -64,6 +64,7 @@
 async fn probe(app: &Rc<App>, path: &str) {
     app.metrics.probes.inc();
     let address = app.settings.target_address;
+    let sent_at = Instant::now();
     let Some((response, reusable)) = fetch(address, path, PROBE_TIMEOUT).await else {
         return;
     };
@@ -90,6 +91,7 @@
                 node.apply_target_change(cx);
             }
         });
+        read_target_headers(app, id, sent_at, &response.headers);
     }
 }
 
--- a/crates/edge/src/target_headers.rs
+++ b/crates/edge/src/target_headers.rs
@@ -87,7 +87,7 @@
         }
         if notice.is_leaving
             && let Some(target) = self.own_target.record().map(|known| known.id.clone())
-            && self.own_target.mark_leaving(&target)
+            && self.own_target.mark_leaving(now, &target)
         {
             log::info!(event = "target-leaving", target = &*target; "");
             self.apply_target_change(cx);
--- a/crates/mesh/src/own_target.rs
+++ b/crates/mesh/src/own_target.rs
@@ -5,8 +5,9 @@
 
 use crate::{AnnouncedState, Announcement, TargetRecord};
 
-/// The longest delay with which an announcement may arrive. For this long after a deregistration that gave no
-/// start time, announcements of the same id count as late, since they may belong to the incarnation that ended.
+/// The longest delay with which an announcement may arrive. For this long after a target without a known start time
+/// deregistered, or said that it leaves, announcements of the same id count as late, since they may belong to the
+/// incarnation that ended.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(10);
 
 /// The target beside this daemon, as it announced itself.
@@ -16,7 +17,7 @@
 pub struct OwnTarget {
     /// Whether the target is unusable until it announces itself or passes a probe.
     down: bool,
-    deregistered_at: Option<Instant>,
+    left_at: Option<Instant>,
     record: Option<TargetRecord>,
 }
 
@@ -85,7 +86,7 @@
     }
 
     /// Records that target `id` said in a response that it leaves; returns whether it was ready until then.
-    pub fn mark_leaving(&mut self, id: &str) -> bool {
+    pub fn mark_leaving(&mut self, now: Instant, id: &str) -> bool {
         let ready = self
             .record
             .as_mut()
@@ -93,6 +94,7 @@
         let is_ready = ready.is_some();
         if let Some(record) = ready {
             record.state = AnnouncedState::Draining;
+            self.left_at = Some(now);
         }
         is_ready
     }
@@ -141,25 +143,25 @@
         self.record.as_ref()
     }
 
-    /// Returns whether an announcement is outdated: it is older than the record, or comes so soon after a
-    /// deregistration without a start time that it may belong to the incarnation that deregistered.
+    /// Returns whether an announcement is outdated: it is older than the record, or comes so soon after a target
+    /// without a known start time left that it may belong to that incarnation.
     fn is_late(&self, now: Instant, announcement: &Announcement) -> bool {
         let Some(known) = &self.record else {
             return false;
         };
         let has_unknown_start =
             known.id == announcement.id && known.born_ms == 0 && !known.is_usable();
-        let deregistered_recently = self
-            .deregistered_at
+        let left_recently = self
+            .left_at
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_ANNOUNCEMENT_DELAY);
-        (has_unknown_start && deregistered_recently) || is_stale(known, announcement)
+        (has_unknown_start && left_recently) || is_stale(known, announcement)
     }
 
     /// Processes a deregistration; returns whether it changed the record.
     ///
     /// A deregistration of another target, or of an earlier incarnation, leaves the record as it is.
     fn deregister(&mut self, now: Instant, announcement: &Announcement) -> bool {
-        self.deregistered_at = Some(now);
+        self.left_at = Some(now);
         let Some(known) = &mut self.record else {
             self.record = Some(TargetRecord {
                 born_ms: announcement.born_ms,
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -6,8 +6,8 @@
 };
 
 use medlarspool_mesh::{
-    AnnouncedState, ArrivalLimiter, GateDecision, GateQueue, GateRequest, OwnTarget, Peer,
-    PeerRecord, RequestRate, TargetLimit, TargetLoad, TargetRecord,
+    AnnouncedState, Announcement, ArrivalLimiter, GateDecision, GateQueue, GateRequest, OwnTarget,
+    Peer, PeerRecord, RequestRate, TargetLimit, TargetLoad, TargetRecord,
 };
 use rstest::rstest;
 
@@ -292,11 +292,25 @@
 
 #[test]
 fn a_target_is_leaving_once_it_says_so() {
+    let now = Instant::now();
     let mut own = OwnTarget::default();
     own.record_healthy_probe(&"i-1".into(), &"skymap".into(), 6);
-    assert!(!own.mark_leaving("i-2"));
-    assert!(own.mark_leaving("i-1"));
-    assert!(!own.mark_leaving("i-1"));
+    assert!(!own.mark_leaving(now, "i-2"));
+    assert!(own.mark_leaving(now, "i-1"));
+    assert!(!own.mark_leaving(now, "i-1"));
+    assert!(own.usable().is_none());
+    // Its start time isn't known from the probe, so a late heartbeat seems to be of a later incarnation.
+    let late = Announcement {
+        address: None,
+        born_ms: 5,
+        cold_remaining: Duration::ZERO,
+        id: "i-1".into(),
+        sequence: 9,
+        service: Some("skymap".into()),
+        slots: 6,
+        state: AnnouncedState::Ready,
+    };
+    assert!(!own.receive_announcement(now + RUN_TIME, &late));
     assert!(own.usable().is_none());
 }
 
