--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -43,10 +43,10 @@
     pub(crate) invalid_target_header: Option<String>,
     /// When the latest crash of the own target was recorded, and its id.
     pub(crate) last_crash: Option<(Instant, u64)>,
-    /// The number that the next run at the own target gets.
-    pub(crate) next_run_number: u64,
     /// When the next queued request is to be started, while the target's limit holds it back.
     pub(crate) next_arrival_at: Option<Instant>,
+    /// The number that the next run at the own target gets.
+    pub(crate) next_run_number: u64,
     pub(crate) own_target: OwnTarget,
     pub(crate) queue: GateQueue,
     relays_failed_at: Option<Instant>,
@@ -65,10 +65,10 @@
     /// The distribution of requests to the services of each route that has several.
     pub(crate) service_cycles: HashMap<RouteKey, WeightedRoundRobin>,
     pub(crate) started_at: Instant,
-    /// When the store last confirmed the configuration in force, by an answer to a call for it.
-    pub(crate) store_confirmed_at: Option<Instant>,
     /// Whether the store answered the latest call for the configuration.
     pub(crate) store_answers: bool,
+    /// When the store last confirmed the configuration in force, by an answer to a call for it.
+    pub(crate) store_confirmed_at: Option<Instant>,
     /// What the own target's latest response said of the target.
     pub(crate) target_notice: TargetNotice,
     /// When the next tick is due, for measuring how late it comes; none before the first one.
@@ -100,8 +100,8 @@
             incarnation,
             invalid_target_header: None,
             last_crash: None,
-            next_run_number: 1,
             next_arrival_at: None,
+            next_run_number: 1,
             own_target: OwnTarget::default(),
             queue: GateQueue::new(0),
             relays_failed_at: None,
@@ -114,8 +114,8 @@
             settings,
             service_cycles: HashMap::new(),
             started_at: now,
-            store_confirmed_at: None,
             store_answers: false,
+            store_confirmed_at: None,
             target_notice: TargetNotice::default(),
             tick_due_at: None,
             tick_number: 0,
--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -239,7 +239,7 @@
         }
         if report.receiver_incarnation > self.incarnation {
             // The clock was set back, and the store doesn't have the row of the earlier incarnation.
-            self.incarnation = report.receiver_incarnation + 1;
+            self.incarnation = report.receiver_incarnation.saturating_add(1);
         }
         if let (Some(era), Some(app)) = (report.store_era, &self.app) {
             app.store.era_watch.learn(era, "peer");
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -103,7 +103,11 @@
 pub(crate) async fn confirm_limit(app: Rc<App>) {
     loop {
         app.limit_unconfirmed.notified().await;
-        let path_and_id = app.core.with(|node, _| {
+        let path_and_id = app.core.with(|node, cx| {
+            // A probe that has ended meanwhile may have confirmed it.
+            if !node.queue.limiter.is_unconfirmed(cx.now()) {
+                return None;
+            }
             let config = node.config.as_ref()?;
             let path = config.health_paths.get(&node.settings.service)?.clone();
             Some((path, node.own_target.usable()?.id.clone()))
--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -23,10 +23,10 @@
 /// an arrival that the limit allows.
 #[derive(Clone, Debug)]
 pub struct GateQueue {
-    /// The limit that the target names.
-    pub limiter: ArrivalLimiter,
     /// The run time that calls may take in advance of more urgent requests.
     call_credit: Duration,
+    /// The limit that the target names.
+    pub limiter: ArrivalLimiter,
     next_ticket: u64,
     running_count: u32,
     running_expected_time: Duration,
@@ -39,8 +39,8 @@
     #[must_use]
     pub fn new(slots: u32) -> Self {
         Self {
-            limiter: ArrivalLimiter::default(),
             call_credit: Duration::ZERO,
+            limiter: ArrivalLimiter::default(),
             next_ticket: 1,
             running_count: 0,
             running_expected_time: Duration::ZERO,
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -215,7 +215,8 @@
         let slot_wait = expected_run_time * ahead / slots;
         match self.load.limit {
             TargetLimit::Limited(rate) => {
-                let passed_over = self.load.waiting_count(u32::MAX) - waiting_count;
+                let waiting_total = self.load.waiting_count(u32::MAX);
+                let passed_over = waiting_total.saturating_sub(waiting_count);
                 let sent_since = u32::try_from(sent_since).unwrap_or_default();
                 slot_wait.max(self.limit_wait(rate, load_age, passed_over, sent_since))
             }
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -231,12 +231,19 @@
     assert_eq!(wait(&peer, 100), Duration::from_millis(50));
     peer.in_flight += 2;
     assert_eq!(wait(&peer, 100), Duration::from_millis(250));
+    // As no gate would report it: fewer requests wait in all than of the more urgent ranks.
+    let contradictory = TargetLoad {
+        waiting_up_to_rank: [9, 9, 3],
+        ..load
+    };
+    peer.receive_report(now, record(5, 3, AnnouncedState::Ready, contradictory));
+    assert!(wait(&peer, 0) > Duration::ZERO);
     let none = TargetLoad {
         limit: limited(0.0),
         wait_us: u32::MAX,
         ..TargetLoad::default()
     };
-    peer.receive_report(now, record(5, 3, AnnouncedState::Ready, none));
+    peer.receive_report(now, record(5, 4, AnnouncedState::Ready, none));
     assert!(wait(&peer, 0) >= Duration::from_mins(30));
 }
 
