Let the soak silence the store, bring it back from a copy, and name limits

The soak of the real program now also has a store whose open connections become silent, one that comes back from an earlier copy, changes of the configuration, and targets that name limits of 0, 0.5 and 10 requests a second; it checks that no daemon goes back to an older version in one incarnation, that the last version comes into force everywhere, and the users' bound on a limit. The faults of processes and links are drawn as before, so earlier seeds keep them.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -1,5 +1,6 @@
-//! A randomized soak test of the real program. Its faults are signals, and links that delay bytes, reset
-//! connections, or block one direction or both.
+//! A randomized soak test of the real program. Its faults are signals, links that delay bytes, reset connections, or
+//! block one direction or both, a store that becomes silent or comes back from an older copy, changes of the
+//! configuration, and targets that name a limit.
 //!
 //! `MEDLARSPOOL_SOAK_SEEDS=FIRST..LAST cargo test -p medlarspool-daemon --test soak` runs other seeds.
 
@@ -30,7 +31,7 @@
 use stand_in::{
     daemon::{Daemon, FAST_LINK_MBPS, base64, config, request, settings_file, wait_until},
     message::round_trip,
-    store::Store,
+    store::{Rows, Store},
     target::{Behaviour, Target},
 };
 
@@ -41,6 +42,12 @@
 /// How long a link fault lasts; a process is suspended for three times as long.
 const FAULT_DURATION: Duration = Duration::from_millis(500);
 
+/// The limits that targets name, in requests per second.
+const LIMITS_PER_S: [f64; 3] = [0.0, 0.5, 10.0];
+
+/// The time over which arrivals are compared with a limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 /// How long after the last fault every daemon must serve requests again.
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(15);
 
@@ -133,6 +140,114 @@
     }
 }
 
+/// The store and the operator, whose faults and changes concern the whole fleet.
+struct Platform {
+    /// An earlier copy of the store, from which it may come back.
+    copy: Rows,
+    era: u64,
+    /// The version that the operator wrote last.
+    newest_version: u64,
+    random: fastrand::Rng,
+    store: Store,
+}
+
+impl Platform {
+    fn start(address: SocketAddr, seed: u64) -> Self {
+        let store = Store::start(address);
+        let mut platform = Self {
+            copy: Rows::default(),
+            era: 1,
+            newest_version: 0,
+            random: fastrand::Rng::with_seed(seed),
+            store,
+        };
+        *platform.store.era.lock().unwrap() = platform.era.to_string();
+        platform.put_next_version();
+        platform
+    }
+
+    fn put_next_version(&mut self) {
+        self.newest_version += 1;
+        self.put_newest_version();
+    }
+
+    fn put_newest_version(&self) {
+        let text = config(self.newest_version, "skymap");
+        self.store.put("op", "config", &base64(text.as_bytes()));
+    }
+
+    /// Draws a change of the configuration, a fault of the store, a limit of a target, or none of these.
+    fn inject_fault(&mut self, fleet: &[Process]) {
+        // What a drill lost of the operator's rows is written again.
+        self.put_newest_version();
+        match self.random.u8(..6) {
+            0 => self.put_next_version(),
+            1 => self.store.silence_open_connections(),
+            2 => {
+                self.era += 1;
+                self.store.restore(self.copy.clone(), &self.era.to_string());
+            }
+            3 => self.copy = self.store.copy(),
+            4 => {
+                let target = &fleet[self.random.usize(..fleet.len())].daemon.target;
+                assert_limit_holds(
+                    target,
+                    LIMITS_PER_S[self.random.usize(..LIMITS_PER_S.len())],
+                );
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Has a target name a limit for a while, and checks that no more requests arrive.
+fn assert_limit_holds(target: &Target, requests_per_s: f64) {
+    *target.own_headers.lock().unwrap() = format!("Server-Limit: {requests_per_s}\r\n");
+    thread::sleep(Duration::from_secs(1));
+    let since = Instant::now();
+    thread::sleep(LIMIT_WINDOW);
+    let arrivals = target.arrivals.lock().unwrap();
+    let count = arrivals.iter().filter(|at| **at >= since).count();
+    target.own_headers.lock().unwrap().clear();
+    // The users' bound.
+    let allowed = 1.5 * requests_per_s * LIMIT_WINDOW.as_secs_f64() + 5.0;
+    #[allow(clippy::cast_precision_loss)]
+    let is_within = count as f64 <= allowed;
+    assert!(is_within, "{count} arrivals, {allowed} allowed");
+}
+
+/// The latest version that each daemon had in force, with its incarnation.
+#[derive(Default)]
+struct VersionsInForce(HashMap<SocketAddr, (u64, u64)>);
+
+impl VersionsInForce {
+    /// Checks that no daemon went back to an older version in one incarnation. Daemons that don't answer are skipped.
+    fn check(&mut self, fleet: &[Process], seed: u64) {
+        for process in fleet {
+            let address = process.daemon.address(18_319);
+            let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
+            let Some(dump) = round_trip(address, text) else {
+                continue;
+            };
+            let dump: serde_json::Value = serde_json::from_slice(&dump.body).unwrap();
+            let incarnation = dump["incarnation"].as_u64().unwrap();
+            let version = dump["config_version"].as_u64().unwrap_or_default();
+            let (known_incarnation, known_version) = self
+                .0
+                .insert(address, (incarnation, version))
+                .unwrap_or_default();
+            assert!(
+                incarnation != known_incarnation || version >= known_version,
+                "seed {seed}: {address} went back from version {known_version} to {version}"
+            );
+        }
+    }
+
+    fn all_are(&self, version: u64, daemon_count: usize) -> bool {
+        self.0.len() == daemon_count && self.0.values().all(|(_, known)| *known == version)
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // Fails if the process has ended already.
@@ -195,8 +310,8 @@
 fn soak(subnet: u8, seed: u64) {
     let mut random = fastrand::Rng::with_seed(seed);
     let store_address = SocketAddr::from(([127, 78, subnet, 250], 18_309));
-    let store = Store::start(store_address);
-    store.put("op", "config", &base64(config(1, "skymap").as_bytes()));
+    let mut platform = Platform::start(store_address, seed);
+    let mut versions = VersionsInForce::default();
     let mut fleet: Vec<Process> = (1..=DAEMON_COUNT)
         .map(|host| Process::start(subnet, host, store_address))
         .collect();
@@ -231,10 +346,13 @@
             });
         }
         for _ in 0..FAULT_COUNT {
+            platform.inject_fault(&fleet);
+            versions.check(&fleet, seed);
             let index = random.usize(..fleet.len());
             fleet[index].inject_fault(&mut random);
             fleet[index].keep_running(seed);
         }
+        platform.put_next_version();
         let recovery_deadline = Instant::now() + MAX_RECOVERY_TIME;
         let all_served = || {
             addresses
@@ -250,6 +368,17 @@
                 "seed {seed}: not served again in {MAX_RECOVERY_TIME:?}"
             );
         }
+        versions.check(&fleet, seed);
+        while !versions.all_are(platform.newest_version, fleet.len()) {
+            assert!(
+                Instant::now() < recovery_deadline,
+                "seed {seed}: version {} is not in force in {MAX_RECOVERY_TIME:?}: {:?}",
+                platform.newest_version,
+                versions.0
+            );
+            thread::sleep(Duration::from_millis(100));
+            versions.check(&fleet, seed);
+        }
     });
     thread::sleep(Duration::from_secs(2));
     check_runs(&fleet, &statuses.lock().unwrap(), seed);
