Say which timers of queued requests do nothing

Read once more: the comment said that the timer was replaced by a later one, which is only half of how it comes. Wording alone; formatter, linter and the tests of target limits pass.

--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -228,7 +228,8 @@
         }
     }
 
-    /// Starts the next queued request, unless the timer that calls this was replaced by one that is due later.
+    /// Starts the next queued request. A timer that fires before the time that is due now was set for an earlier
+    /// state of the queue, and does nothing.
     fn start_next_arrival(&mut self, cx: CX![]) {
         if self.next_arrival_at.is_some_and(|at| cx.now() < at) {
             return;
