Name what a changed limit counts after what it is

unused_count held the requests sent ahead of the former limit, not unused arrivals. A rename and a doc comment; formatter, linter and the 20 tests of target limits pass.

--- a/crates/mesh/src/arrival_limiter.rs
+++ b/crates/mesh/src/arrival_limiter.rs
@@ -123,19 +123,19 @@
             .min(ENDLESS_WAIT)
     }
 
-    /// Changes the limit; the arrivals that were not used up by the former one are counted by the new one.
+    /// Changes the limit. Requests that were sent ahead of the former limit are waited for at the new rate.
     fn set_limit(&mut self, now: Instant, limit: TargetLimit) {
         let former = std::mem::replace(&mut self.limit, limit);
         let TargetLimit::Limited(rate) = limit else {
             return;
         };
-        let unused_count = match former {
+        let ahead_count = match former {
             TargetLimit::Limited(former_rate) => {
                 self.paid_for(now).div_duration_f64(interval(former_rate))
             }
             TargetLimit::Unknown | TargetLimit::Unlimited => 1.0,
         };
-        self.paid_until = Some(now + interval(rate).mul_f64(unused_count));
+        self.paid_until = Some(now + interval(rate).mul_f64(ahead_count));
     }
 
     fn paid_for(&self, now: Instant) -> Duration {
