--- a/crates/daemon/tests/relay_lost.rs
+++ b/crates/daemon/tests/relay_lost.rs
@@ -24,45 +24,42 @@
 /// How soon a change must take effect.
 const MAX_APPLY_TIME: Duration = Duration::from_secs(2);
 
-#[test]
-fn a_change_right_after_the_relay_is_killed_takes_effect_in_time() {
-    let ip = |last| IpAddr::from([127, 82, 1, last]);
+/// Writes a version of the configuration as the operator does.
+fn put(store: &Store, version: u64) {
+    let text = config(version, "alerts");
+    store.put("op", "config", &base64(text.as_bytes()));
+}
+
+fn has_version(process: &SiteProcess, version: u64) -> bool {
+    let dump = process.daemon.dump();
+    dump.contains(&format!("\"config_version\":{version},"))
+}
+
+/// Starts a store, a relay and a daemon behind a slow link, and waits until the latter has the first version.
+fn start(subnet: u8) -> (Store, SiteProcess, SiteProcess) {
+    let ip = |last| IpAddr::from([127, 82, subnet, last]);
     let store_address = SocketAddr::new(ip(250), 18_309);
     let store = Store::start(store_address);
-    let put = |version| {
-        store.put(
-            "op",
-            "config",
-            &base64(config(version, "alerts").as_bytes()),
-        );
-    };
-    put(1);
-    let mut relay = SiteProcess::start(
-        ip(1),
-        store_address,
-        "skymap",
-        Behaviour::SendsWholeAfterMs(1),
-    );
-    let slow = SiteProcess::start_with_link(
-        ip(2),
-        store_address,
-        "alerts",
-        Behaviour::SendsWholeAfterMs(1),
-        SLOW_LINK_MBPS,
-    );
+    put(&store, 1);
+    let behaviour = Behaviour::SendsWholeAfterMs(1);
+    let relay = SiteProcess::start(ip(1), store_address, "skymap", behaviour);
+    let slow =
+        SiteProcess::start_with_link(ip(2), store_address, "alerts", behaviour, SLOW_LINK_MBPS);
     wait_until("readiness", || slow.daemon.readiness() == 200);
-    let has_version = |version: u64| {
-        let dump = slow.daemon.dump();
-        dump.contains(&format!("\"config_version\":{version},"))
-    };
-    wait_until("the first version", || has_version(1));
-    put(2);
-    wait_until("the second version", || has_version(2));
+    wait_until("the first version", || has_version(&slow, 1));
+    (store, relay, slow)
+}
+
+#[test]
+fn a_change_right_after_the_relay_is_killed_takes_effect_in_time() {
+    let (store, mut relay, slow) = start(1);
+    put(&store, 2);
+    wait_until("the second version", || has_version(&slow, 2));
     relay.child.kill().unwrap();
     relay.child.wait().unwrap();
-    put(3);
+    put(&store, 3);
     let changed_at = Instant::now();
-    wait_until("the third version", || has_version(3));
+    wait_until("the third version", || has_version(&slow, 3));
     assert!(
         changed_at.elapsed() < MAX_APPLY_TIME,
         "{:?}",
@@ -73,35 +70,15 @@
 /// Guards against a follower caught between two eras: its relay is killed while the store comes back from an older copy.
 #[test]
 fn a_change_takes_effect_in_time_if_the_relay_is_killed_in_a_drill_of_the_store() {
-    let ip = |last| IpAddr::from([127, 82, 2, last]);
-    let store_address = SocketAddr::new(ip(250), 18_309);
-    let store = Store::start(store_address);
+    let (store, mut relay, slow) = start(2);
     *store.era.lock().unwrap() = "1".into();
-    let put = |version| {
-        store.put(
-            "op",
-            "config",
-            &base64(config(version, "alerts").as_bytes()),
-        );
-    };
-    put(1);
-    let behaviour = Behaviour::SendsWholeAfterMs(1);
-    let mut relay = SiteProcess::start(ip(1), store_address, "skymap", behaviour);
-    let slow =
-        SiteProcess::start_with_link(ip(2), store_address, "alerts", behaviour, SLOW_LINK_MBPS);
-    wait_until("readiness", || slow.daemon.readiness() == 200);
-    let has_version = |process: &SiteProcess, version: u64| {
-        let dump = process.daemon.dump();
-        dump.contains(&format!("\"config_version\":{version},"))
-    };
-    wait_until("the first version", || has_version(&slow, 1));
     let copy = store.copy();
-    put(2);
+    put(&store, 2);
     wait_until("the second version", || has_version(&slow, 2));
     relay.child.kill().unwrap();
     store.restore(copy, "2");
     // The operator's next version gets a number in the store that the lost one had.
-    put(3);
+    put(&store, 3);
     std::thread::sleep(MAX_APPLY_TIME);
     assert!(has_version(&slow, 3));
     // The relay starts on a copy without the latest version, in a second drill.
