Count requests that will pass ahead into the expected wait

Cause: a gate took only the queued requests for ahead. Change: RecentStarts keeps the run time that was started lately by rank and lateness; the expected wait is divided by the share that is left. The comparison with the order without accounts has the same rule, computed anew each time.

--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ArrivalLimiter, GateDecision, GateRequest, account_turns::AccountTurns,
-    arrival_limiter::ENDLESS_WAIT, queued_request::QueuedRequest,
+    arrival_limiter::ENDLESS_WAIT, queued_request::QueuedRequest, recent_starts::RecentStarts,
 };
 
 /// The share of a target's time that calls of running requests get beside clients' requests that are as urgent or
@@ -26,7 +26,8 @@
 /// Calls of running requests that wait beside other requests get [`CALL_SHARE`] of the time.
 ///
 /// A request is refused on arrival, not after a wait, if the requests ahead of it take longer than it may
-/// wait: a longer queue serves no more requests, it only makes all of them late. Of another account's requests, only
+/// wait: a longer queue serves no more requests, it only makes all of them late. Requests that will arrive later and go
+/// ahead count as well, by what started lately ([`RecentStarts`]). Of another account's requests, only
 /// those are ahead that this account gets to start meanwhile, so a long queue of one account doesn't refuse others.
 ///
 /// A limit that the target names holds for all requests together: one starts only when there are both a free slot and
@@ -38,6 +39,7 @@
     /// The limit that the target names.
     pub limiter: ArrivalLimiter,
     next_ticket: u64,
+    recent_starts: RecentStarts,
     running_count: u32,
     running_expected_time: Duration,
     slots: u32,
@@ -53,6 +55,7 @@
             call_credit: Duration::ZERO,
             limiter: ArrivalLimiter::default(),
             next_ticket: 1,
+            recent_starts: RecentStarts::default(),
             running_count: 0,
             running_expected_time: Duration::ZERO,
             slots,
@@ -68,8 +71,8 @@
 
     /// Starts a request in a free slot, queues it, or refuses it.
     ///
-    /// It is refused if its expected wait exceeds `max_wait` or ends after its latest start. Only the running
-    /// requests and the queued ones that go before it add to the expected wait.
+    /// It is refused if its expected wait exceeds `max_wait` or ends after its latest start. The expected wait comes from
+    /// the running requests, the queued ones that go before it, and those that will arrive meanwhile and go before it.
     pub fn request_slot(
         &mut self,
         now: Instant,
@@ -78,10 +81,11 @@
     ) -> GateDecision {
         if self.running_count < self.slots && self.waiting.is_empty() && self.limiter.try_take(now)
         {
-            self.start(&request);
+            self.start(now, &request);
             return GateDecision::Start;
         }
-        let mut wait = self.wait_in_turn(now, &request);
+        let share_left = 1.0 - self.recent_starts.share_ahead(now, self.slots, &request);
+        let mut wait = self.wait_in_turn(now, &request).div_f64(share_left);
         if request.is_call {
             let is_call_ahead =
                 |ahead: &GateRequest| ahead.is_call && goes_before(now, ahead, &request);
@@ -229,7 +233,7 @@
         let QueuedRequest {
             request, ticket, ..
         } = self.remove(index);
-        self.start(&request);
+        self.start(now, &request);
         Some((ticket, request.expected_run_time))
     }
 
@@ -336,7 +340,8 @@
         counts
     }
 
-    fn start(&mut self, request: &GateRequest) {
+    fn start(&mut self, now: Instant, request: &GateRequest) {
+        self.recent_starts.record(now, request);
         self.running_count += 1;
         self.running_expected_time += request.expected_run_time;
     }
@@ -351,7 +356,7 @@
 fn priority_key(now: Instant, request: &GateRequest) -> (u32, bool, Instant) {
     (
         request.rank,
-        request.latest_on_time_start < now,
+        request.is_late(now),
         request.latest_on_time_start,
     )
 }
--- a/crates/mesh/src/gate_request.rs
+++ b/crates/mesh/src/gate_request.rs
@@ -20,3 +20,10 @@
     /// The rank, where 0 is the most urgent.
     pub rank: u32,
 }
+
+impl GateRequest {
+    /// Returns whether the request can no longer be answered within its target latency if it starts now.
+    pub(crate) fn is_late(&self, now: Instant) -> bool {
+        self.latest_on_time_start < now
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/recent_starts.rs
@@ -0,0 +1,74 @@
+use std::time::{Duration, Instant};
+
+use crate::{GateRequest, start_group::StartGroup};
+
+/// The time in which the weight of a start falls to 1/e. It is about the run time of one request: with 500 ms the shares
+/// followed a burst too late.
+const FADE_TIME: Duration = Duration::from_millis(250);
+
+/// The highest share that requests ahead are taken to use. What remains is used by others now and then, as the shares
+/// vary.
+const MAX_SHARE: f64 = 0.95;
+
+/// The weight in seconds from which on a group is forgotten.
+const MIN_TIME_S: f64 = 1e-12;
+
+/// Which requests used the slots of a target lately, from which follows how many will go ahead of a request that waits.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RecentStarts {
+    groups: Vec<StartGroup>,
+    updated_at: Option<Instant>,
+}
+
+impl RecentStarts {
+    /// Counts a request that starts now.
+    pub(crate) fn record(&mut self, now: Instant, request: &GateRequest) {
+        let fading = self.fading(now);
+        self.updated_at = Some(now);
+        for group in &mut self.groups {
+            group.time_s *= fading;
+        }
+        self.groups.retain(|group| group.time_s > MIN_TIME_S);
+        let is_late = request.is_late(now);
+        let time_s = request.expected_run_time.as_secs_f64();
+        let is_alike =
+            |group: &&mut StartGroup| group.rank == request.rank && group.is_late == is_late;
+        match self.groups.iter_mut().find(is_alike) {
+            Some(group) => group.time_s += time_s,
+            None => self.groups.push(StartGroup {
+                is_late,
+                rank: request.rank,
+                time_s,
+            }),
+        }
+    }
+
+    /// Returns the share of the time of `slots` slots that requests which go ahead of `request` used lately, whenever they
+    /// arrive.
+    ///
+    /// Where accounts share the time of a rank, only more urgent ranks go ahead whenever they arrive.
+    pub(crate) fn share_ahead(&self, now: Instant, slots: u32, request: &GateRequest) -> f64 {
+        let is_late = request.is_late(now) && request.account.is_none();
+        let is_ahead = |group: &&StartGroup| {
+            group.rank < request.rank || (group.rank == request.rank && is_late && !group.is_late)
+        };
+        let ahead_s: f64 = self
+            .groups
+            .iter()
+            .filter(is_ahead)
+            .map(|it| it.time_s)
+            .sum();
+        let total_s: f64 = self.groups.iter().map(|it| it.time_s).sum();
+        let slots_s = FADE_TIME.as_secs_f64() * f64::from(slots.max(1));
+        let fading = self.fading(now);
+        (ahead_s * fading / slots_s.max(total_s * fading)).min(MAX_SHARE)
+    }
+
+    /// Returns the factor by which the weights have faded since the latest start.
+    fn fading(&self, now: Instant) -> f64 {
+        self.updated_at.map_or(1.0, |at| {
+            let elapsed = now.saturating_duration_since(at);
+            (-elapsed.div_duration_f64(FADE_TIME)).exp()
+        })
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/expected_waits.rs
@@ -0,0 +1,73 @@
+//! What a gate expects a request to wait if others that arrive later go before it.
+
+use std::time::{Duration, Instant};
+
+use medlarspool_mesh::{GateDecision, GateQueue, GateRequest};
+use rstest::rstest;
+
+const RUN_TIME: Duration = Duration::from_millis(40);
+
+const SLOTS: u32 = 4;
+
+/// How long the tested request may wait: twice the wait for the first free slot.
+const MAX_WAIT: Duration = Duration::from_millis(10);
+
+fn request(now: Instant, rank: u32) -> GateRequest {
+    GateRequest {
+        account: None,
+        expected_run_time: RUN_TIME,
+        is_call: false,
+        latest_on_time_start: now + MAX_WAIT,
+        latest_start: now + MAX_WAIT,
+        rank,
+    }
+}
+
+/// Fills all slots again and again for a second with requests of which `urgent_of_ten` in ten have rank 0 and the others
+/// rank 2. Returns the queue and the time when all slots have just been filled.
+fn busy_queue(urgent_of_ten: u32) -> (GateQueue, Instant) {
+    let mut queue = GateQueue::new(SLOTS);
+    let mut now = Instant::now();
+    for turn in 0..25 * SLOTS {
+        if turn >= SLOTS {
+            queue.finish(RUN_TIME);
+        }
+        let rank = if turn % 10 < urgent_of_ten { 0 } else { 2 };
+        let decision = queue.request_slot(now, request(now, rank), Duration::ZERO);
+        assert_eq!(decision, GateDecision::Start);
+        now += RUN_TIME / SLOTS;
+    }
+    (queue, now)
+}
+
+/// Guards against requests that wait in vain: their queue seems short, but more urgent ones that arrive meanwhile take most
+/// of the slots that become free.
+#[rstest]
+#[case::few_urgent(2, true)]
+#[case::most_urgent(8, false)]
+fn more_urgent_arrivals_count_as_ahead(#[case] urgent_of_ten: u32, #[case] waits: bool) {
+    let (mut queue, now) = busy_queue(urgent_of_ten);
+    let decision = queue.request_slot(now, request(now, 2), MAX_WAIT);
+    assert_eq!(
+        matches!(decision, GateDecision::Wait(_)),
+        waits,
+        "{decision:?}"
+    );
+}
+
+/// Guards against estimates by what started long ago: after a second without urgent requests, they no longer count.
+#[test]
+fn urgent_starts_of_a_second_ago_do_not_count() {
+    let (mut queue, now) = busy_queue(8);
+    let later = now + Duration::from_secs(1);
+    let decision = queue.request_slot(later, request(later, 2), MAX_WAIT);
+    assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
+}
+
+/// Guards against urgent requests that are refused for less urgent ones, which they go before.
+#[test]
+fn less_urgent_starts_do_not_count() {
+    let (mut queue, now) = busy_queue(2);
+    let decision = queue.request_slot(now, request(now, 0), MAX_WAIT);
+    assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
+}
--- a/crates/mesh/tests/order_without_accounts.rs
+++ b/crates/mesh/tests/order_without_accounts.rs
@@ -1,5 +1,5 @@
-//! The order at a gate in deployments without accounts, compared with the order that the gate had before there were
-//! accounts' shares.
+//! The order at a gate in deployments without accounts, compared with a plain implementation of the order that the gate
+//! had before there were accounts' shares.
 
 use std::time::{Duration, Instant};
 
@@ -10,14 +10,31 @@
 const CALL_SHARE: f64 = 0.4;
 const MAX_CALL_CREDIT_PER_SLOT: Duration = Duration::from_millis(50);
 
+/// The time in which a start loses most of its weight for the expected waits, and the highest share that the requests
+/// ahead are taken to use.
+const FADE_TIME_S: f64 = 0.25;
+const MAX_SHARE_AHEAD: f64 = 0.95;
+
+/// How far expected waits may differ, which are computed in another order here.
+const WAIT_TOLERANCE: Duration = Duration::from_micros(1);
+
 const SLOTS: u32 = 4;
 
+/// A request that started.
+struct Start {
+    at: Instant,
+    is_late: bool,
+    rank: u32,
+    time_s: f64,
+}
+
 /// The queue as it was before accounts had shares, without the limits that targets name.
 struct FormerQueue {
     call_credit: Duration,
     next_ticket: u64,
     running_count: u32,
     running_expected_time: Duration,
+    starts: Vec<Start>,
     waiting: Vec<(u64, GateRequest)>,
 }
 
@@ -29,11 +46,12 @@
         max_wait: Duration,
     ) -> GateDecision {
         if self.running_count < SLOTS && self.waiting.is_empty() {
-            self.start(&request);
+            self.start(now, &request);
             return GateDecision::Start;
         }
         let is_ahead = |ahead: &GateRequest| key(now, ahead) <= key(now, &request);
-        let mut wait = self.wait_behind(1.0, is_ahead);
+        let share_left = 1.0 - self.share_ahead(now, &request);
+        let mut wait = self.wait_behind(1.0, is_ahead).div_f64(share_left);
         if request.is_call {
             wait = wait.min(self.wait_behind(CALL_SHARE, |it| it.is_call && is_ahead(it)));
         }
@@ -58,6 +76,17 @@
         ahead.div_f64(share) / SLOTS + mean_remaining / SLOTS
     }
 
+    /// Returns the share of the slots' time that requests which go ahead of this one used lately.
+    fn share_ahead(&self, now: Instant, request: &GateRequest) -> f64 {
+        let weight =
+            |start: &Start| start.time_s * (-(now - start.at).as_secs_f64() / FADE_TIME_S).exp();
+        let is_late = request.latest_on_time_start < now;
+        let is_ahead = |start: &&Start| (start.rank, start.is_late) < (request.rank, is_late);
+        let ahead_s: f64 = self.starts.iter().filter(is_ahead).map(weight).sum();
+        let total_s: f64 = self.starts.iter().map(weight).sum();
+        (ahead_s / total_s.max(FADE_TIME_S * f64::from(SLOTS))).min(MAX_SHARE_AHEAD)
+    }
+
     fn finish(&mut self, expected_run_time: Duration) {
         self.running_count -= 1;
         self.running_expected_time -= expected_run_time;
@@ -74,7 +103,7 @@
             _ => first,
         };
         let (ticket, request) = self.waiting.remove(index);
-        self.start(&request);
+        self.start(now, &request);
         Some((ticket, request.expected_run_time))
     }
 
@@ -105,7 +134,15 @@
         other
     }
 
-    fn start(&mut self, request: &GateRequest) {
+    fn start(&mut self, now: Instant, request: &GateRequest) {
+        self.starts
+            .retain(|start| (now - start.at).as_secs_f64() < 50.0 * FADE_TIME_S);
+        self.starts.push(Start {
+            at: now,
+            is_late: request.latest_on_time_start < now,
+            rank: request.rank,
+            time_s: request.expected_run_time.as_secs_f64(),
+        });
         self.running_count += 1;
         self.running_expected_time += request.expected_run_time;
     }
@@ -135,6 +172,7 @@
         next_ticket: 1,
         running_count: 0,
         running_expected_time: Duration::ZERO,
+        starts: Vec::new(),
         waiting: Vec::new(),
     };
     let mut running: Vec<Duration> = Vec::new();
@@ -164,7 +202,16 @@
                 };
                 let max_wait = Duration::from_millis(rng.u64(..1_000));
                 let expected = former.request_slot(now, request.clone(), max_wait);
-                assert_eq!(queue.request_slot(now, request, max_wait), expected);
+                let decision = queue.request_slot(now, request, max_wait);
+                match (decision, expected) {
+                    (
+                        GateDecision::Refuse { expected_wait },
+                        GateDecision::Refuse {
+                            expected_wait: expected,
+                        },
+                    ) => assert!(expected_wait.abs_diff(expected) <= WAIT_TOLERANCE),
+                    (decision, expected) => assert_eq!(decision, expected),
+                }
                 match expected {
                     GateDecision::Refuse { .. } => refused_count += 1,
                     GateDecision::Start => running.push(run_time),
