Refuse a queued request as soon as it can't start in time

Cause: a request that others had passed in the queue waited until its latest start and was refused then, although the gate could tell long before. Its client came back when most of the target latency was gone. Change: when a request is queued, the last ones in the order whose expected wait now ends after their latest start are removed and refused at once; the entry tries another gate or tells the client when to come back. Requests of accounts stay, since their turns decide when they start.

--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -132,6 +132,7 @@
                     work: RunningWork::of(call),
                 };
                 self.waiters.insert(ticket, waiter);
+                self.refuse_hopeless(now);
                 self.schedule_next_arrival(cx);
                 Admission::Waiting {
                     slot_receiver,
@@ -142,6 +143,16 @@
         }
     }
 
+    /// Refuses the queued requests that won't start in time any more.
+    fn refuse_hopeless(&mut self, now: Instant) {
+        for ticket in self.queue.remove_hopeless(now) {
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                // An error means that the request was cancelled meanwhile.
+                let _ = waiter.slot_sender.send(Err(RefusalReason::Busy));
+            }
+        }
+    }
+
     /// Records the start of a run.
     fn begin_run(
         &mut self,
--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -107,6 +107,38 @@
         GateDecision::Wait(ticket)
     }
 
+    /// Removes the queued requests that won't start in time any more, since others went ahead of them; returns their
+    /// tickets. Each of them would wait in vain, while its client could try another gate or come back.
+    ///
+    /// Requests of accounts stay: when they start follows from the turns of their accounts.
+    pub fn remove_hopeless(&mut self, now: Instant) -> Vec<u64> {
+        let mut removed = Vec::new();
+        while let Some(last) = self.last_waiting(now) {
+            let QueuedRequest {
+                request, ticket, ..
+            } = &self.waiting[last];
+            let key = order_key(now, &self.waiting[last]);
+            let ahead = self.waiting.iter().filter(|it| order_key(now, it) < key);
+            let ahead = ahead.map(|it| it.request.expected_run_time).sum();
+            let share_left = 1.0 - self.recent_starts.share_ahead(now, self.slots, request);
+            if now + self.slot_wait(ahead).div_f64(share_left) <= request.latest_start {
+                break;
+            }
+            removed.push(*ticket);
+            self.remove(last);
+        }
+        removed
+    }
+
+    /// Returns the index of the queued request without an account that goes last.
+    fn last_waiting(&self, now: Instant) -> Option<usize> {
+        let waiting = self.waiting.iter().enumerate();
+        waiting
+            .filter(|(_, queued)| queued.request.account.is_none())
+            .max_by_key(|(_, queued)| order_key(now, queued))
+            .map(|(index, _)| index)
+    }
+
     /// Returns how long a new request of this rank would wait, behind all queued ones that are as urgent or more;
     /// an hour if the target takes none.
     #[must_use]
--- a/crates/mesh/tests/expected_waits.rs
+++ b/crates/mesh/tests/expected_waits.rs
@@ -71,3 +71,54 @@
     let decision = queue.request_slot(now, request(now, 0), MAX_WAIT);
     assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
 }
+
+/// Guards against requests that wait until they are refused although it is known long before that they won't start: a
+/// request is removed when so many more urgent ones have gone ahead that its wait ends too late, and no other one is.
+#[test]
+fn a_request_that_was_passed_too_often_is_removed_at_once() {
+    let (mut queue, now) = busy_queue(0);
+    let max_wait = RUN_TIME;
+    let request = |rank| GateRequest {
+        latest_on_time_start: now + max_wait,
+        latest_start: now + max_wait,
+        ..request(now, rank)
+    };
+    let GateDecision::Wait(ticket) = queue.request_slot(now, request(2), max_wait) else {
+        panic!("the queue is empty");
+    };
+    let mut urgent_count = 0;
+    let removed = loop {
+        assert!(matches!(
+            queue.request_slot(now, request(0), max_wait),
+            GateDecision::Wait(_)
+        ));
+        urgent_count += 1;
+        let removed = queue.remove_hopeless(now);
+        if !removed.is_empty() {
+            break removed;
+        }
+    };
+    assert_eq!(removed, [ticket]);
+    // In its longest wait, the slots run as many requests ahead of it as there are slots.
+    assert!(
+        (SLOTS - 1..=SLOTS).contains(&urgent_count),
+        "{urgent_count}"
+    );
+    assert_eq!(
+        queue.waiting_count(u32::MAX),
+        usize::try_from(urgent_count).unwrap()
+    );
+}
+
+/// Guards against an account's requests that are removed for the requests of others, with which it shares the time.
+#[test]
+fn requests_of_accounts_are_not_removed() {
+    let (mut queue, now) = busy_queue(0);
+    let of_account = GateRequest {
+        account: Some("account".into()),
+        ..request(now, 2)
+    };
+    let decision = queue.request_slot(now, of_account, MAX_WAIT);
+    assert!(matches!(decision, GateDecision::Wait(_)));
+    assert_eq!(queue.remove_hopeless(now + MAX_WAIT * 2), []);
+}
--- a/crates/mesh/tests/load/mod.rs
+++ b/crates/mesh/tests/load/mod.rs
@@ -384,6 +384,11 @@
                 self.waiting_requests
                     .insert((target_index, ticket), request_index);
                 self.push(at + wait_limit, Event::Expire(request_index));
+                for ticket in self.gates[target_index].remove_hopeless(now) {
+                    if let Some(removed) = self.waiting_requests.remove(&(target_index, ticket)) {
+                        self.retry_elsewhere(at, removed);
+                    }
+                }
                 self.await_arrival(at, target_index);
             }
         }
