Take long runs that fill the slots once for no lasting load

Cause: the weights of recent starts faded in 250 ms whatever the runs take. Six urgent runs of some seconds, started within a moment, counted as a load that uses 95 % of the slots for good, so that a less urgent request was expected to wait twenty times as long as it would, and was refused at once.

Ruled out: the removal of queued requests, which leaves those of accounts alone; the shorter waits, with which the request may still wait for seconds.

Change: the weights fade in two mean run times, and in 250 ms at least.

--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -373,9 +373,10 @@
     }
 
     fn start(&mut self, now: Instant, request: &GateRequest) {
-        self.recent_starts.record(now, request);
         self.running_count += 1;
         self.running_expected_time += request.expected_run_time;
+        let mean_run_time = self.running_expected_time / self.running_count;
+        self.recent_starts.record(now, request, mean_run_time);
     }
 }
 
--- a/crates/mesh/src/recent_starts.rs
+++ b/crates/mesh/src/recent_starts.rs
@@ -2,29 +2,46 @@
 
 use crate::{GateRequest, start_group::StartGroup};
 
-/// The time in which the weight of a start falls to 1/e. It is about the run time of one request: with 500 ms the shares
-/// followed a burst too late.
-const FADE_TIME: Duration = Duration::from_millis(250);
+/// The time in which the weight of a start falls to 1/e, as a multiple of the mean time of the runs. In less, the requests
+/// that fill the slots once would count as a load that goes on.
+const FADE_RUNS: u32 = 2;
 
 /// The highest share that requests ahead are taken to use. What remains is used by others now and then, as the shares
 /// vary.
 const MAX_SHARE: f64 = 0.95;
 
+/// The shortest time in which the weight of a start falls to 1/e. With 500 ms the shares followed a burst too late where
+/// runs take 100 ms.
+const MIN_FADE_TIME: Duration = Duration::from_millis(250);
+
 /// The weight in seconds from which on a group is forgotten.
 const MIN_TIME_S: f64 = 1e-12;
 
 /// Which requests used the slots of a target lately, from which follows how many will go ahead of a request that waits.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct RecentStarts {
+    /// The time in which the weight of a start falls to 1/e.
+    fade_time: Duration,
     groups: Vec<StartGroup>,
     updated_at: Option<Instant>,
 }
 
+impl Default for RecentStarts {
+    fn default() -> Self {
+        Self {
+            fade_time: MIN_FADE_TIME,
+            groups: Vec::new(),
+            updated_at: None,
+        }
+    }
+}
+
 impl RecentStarts {
-    /// Counts a request that starts now.
-    pub(crate) fn record(&mut self, now: Instant, request: &GateRequest) {
+    /// Counts a request that starts now, beside runs that are expected to take `mean_run_time`.
+    pub(crate) fn record(&mut self, now: Instant, request: &GateRequest, mean_run_time: Duration) {
         let fading = self.fading(now);
         self.updated_at = Some(now);
+        self.fade_time = MIN_FADE_TIME.max(mean_run_time.saturating_mul(FADE_RUNS));
         for group in &mut self.groups {
             group.time_s *= fading;
         }
@@ -59,7 +76,7 @@
             .map(|it| it.time_s)
             .sum();
         let total_s: f64 = self.groups.iter().map(|it| it.time_s).sum();
-        let slots_s = FADE_TIME.as_secs_f64() * f64::from(slots.max(1));
+        let slots_s = self.fade_time.as_secs_f64() * f64::from(slots.max(1));
         let fading = self.fading(now);
         (ahead_s * fading / slots_s.max(total_s * fading)).min(MAX_SHARE)
     }
@@ -68,7 +85,7 @@
     fn fading(&self, now: Instant) -> f64 {
         self.updated_at.map_or(1.0, |at| {
             let elapsed = now.saturating_duration_since(at);
-            (-elapsed.div_duration_f64(FADE_TIME)).exp()
+            (-elapsed.div_duration_f64(self.fade_time)).exp()
         })
     }
 }
--- a/crates/mesh/tests/expected_waits.rs
+++ b/crates/mesh/tests/expected_waits.rs
@@ -64,6 +64,30 @@
     assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
 }
 
+/// Guards against requests that are refused since more urgent ones with long runs have just filled the slots once: these
+/// runs alone don't tell that further ones follow.
+#[rstest]
+#[case::with_account(Some("account"))]
+#[case::without_account(None)]
+fn long_runs_that_fill_the_slots_once_are_no_lasting_load(#[case] account: Option<&str>) {
+    let mut queue = GateQueue::new(SLOTS);
+    let now = Instant::now();
+    let long = |rank| GateRequest {
+        account: account.map(Into::into),
+        expected_run_time: Duration::from_secs(3),
+        latest_on_time_start: now + Duration::from_millis(3_600),
+        latest_start: now + Duration::from_millis(3_600),
+        ..request(now, rank)
+    };
+    for _ in 0..SLOTS {
+        let decision = queue.request_slot(now, long(0), Duration::ZERO);
+        assert_eq!(decision, GateDecision::Start);
+    }
+    let decision = queue.request_slot(now, long(2), Duration::from_millis(3_600));
+    assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
+    assert_eq!(queue.remove_hopeless(now), []);
+}
+
 /// Guards against urgent requests that are refused for less urgent ones, which they go before.
 #[test]
 fn less_urgent_starts_do_not_count() {
