Keep a call queued that gets its share of the time

Cause: a call of a running request is queued if its share of the time lets it start in time, whatever more urgent requests do. The removal of queued requests left that share out: it took all more urgent requests for ahead, so that such a call was refused as soon as it was queued, and the run that made it failed.

Ruled out: deployments where all requests come from targets' addresses are not affected, since there nothing but calls waits.

Change: the remaining wait of a queued call counts others ahead as its admission does, and recent starts of others for at most what the calls' share leaves. The model in order_without_accounts has the same rule.

--- a/crates/mesh/src/gate_queue.rs
+++ b/crates/mesh/src/gate_queue.rs
@@ -110,18 +110,15 @@
     /// Removes the queued requests that won't start in time any more, since others went ahead of them; returns their
     /// tickets. Each of them would wait in vain, while its client could try another gate or come back.
     ///
-    /// Requests of accounts stay: when they start follows from the turns of their accounts.
+    /// Requests of accounts stay: when they start follows from the turns of their accounts. A call of a running request
+    /// that waits beside other requests gets [`CALL_SHARE`] of the time.
     pub fn remove_hopeless(&mut self, now: Instant) -> Vec<u64> {
         let mut removed = Vec::new();
         while let Some(last) = self.last_waiting(now) {
             let QueuedRequest {
                 request, ticket, ..
             } = &self.waiting[last];
-            let key = order_key(now, &self.waiting[last]);
-            let ahead = self.waiting.iter().filter(|it| order_key(now, it) < key);
-            let ahead = ahead.map(|it| it.request.expected_run_time).sum();
-            let share_left = 1.0 - self.recent_starts.share_ahead(now, self.slots, request);
-            if now + self.slot_wait(ahead).div_f64(share_left) <= request.latest_start {
+            if now + self.queued_wait(now, &self.waiting[last]) <= request.latest_start {
                 break;
             }
             removed.push(*ticket);
@@ -130,6 +127,27 @@
         removed
     }
 
+    /// Returns how long a queued request without an account still waits.
+    fn queued_wait(&self, now: Instant, queued: &QueuedRequest) -> Duration {
+        let key = order_key(now, queued);
+        let (mut ahead, mut calls_ahead) = (Duration::ZERO, Duration::ZERO);
+        for other in self.waiting.iter().filter(|it| order_key(now, it) < key) {
+            let run_time = other.request.expected_run_time;
+            ahead += run_time;
+            if other.request.is_call {
+                calls_ahead += run_time;
+            }
+        }
+        let is_beside_others = ahead > calls_ahead;
+        if queued.request.is_call && is_beside_others {
+            ahead = ahead.min(calls_ahead.div_f64(CALL_SHARE));
+        }
+        let share_ahead = self
+            .recent_starts
+            .share_ahead(now, self.slots, &queued.request);
+        self.slot_wait(ahead).div_f64(1.0 - share_ahead)
+    }
+
     /// Returns the index of the queued request without an account that goes last.
     fn last_waiting(&self, now: Instant) -> Option<usize> {
         let waiting = self.waiting.iter().enumerate();
--- a/crates/mesh/src/recent_starts.rs
+++ b/crates/mesh/src/recent_starts.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use crate::{GateRequest, start_group::StartGroup};
+use crate::{GateRequest, gate_queue::CALL_SHARE, start_group::StartGroup};
 
 /// The time in which the weight of a start falls to 1/e, as a multiple of the mean time of the runs. In less, the requests
 /// that fill the slots once would count as a load that goes on.
@@ -48,11 +48,15 @@
         self.groups.retain(|group| group.time_s > MIN_TIME_S);
         let is_late = request.is_late(now);
         let time_s = request.expected_run_time.as_secs_f64();
-        let is_alike =
-            |group: &&mut StartGroup| group.rank == request.rank && group.is_late == is_late;
+        let is_alike = |group: &&mut StartGroup| {
+            group.rank == request.rank
+                && group.is_late == is_late
+                && group.is_call == request.is_call
+        };
         match self.groups.iter_mut().find(is_alike) {
             Some(group) => group.time_s += time_s,
             None => self.groups.push(StartGroup {
+                is_call: request.is_call,
                 is_late,
                 rank: request.rank,
                 time_s,
@@ -63,22 +67,30 @@
     /// Returns the share of the time of `slots` slots that requests which go ahead of `request` used lately, whenever they
     /// arrive.
     ///
-    /// Where accounts share the time of a rank, only more urgent ranks go ahead whenever they arrive.
+    /// Where accounts share the time of a rank, only more urgent ranks go ahead whenever they arrive. Beside a call, others
+    /// use at most what [`CALL_SHARE`] leaves.
     pub(crate) fn share_ahead(&self, now: Instant, slots: u32, request: &GateRequest) -> f64 {
         let is_late = request.is_late(now) && request.account.is_none();
-        let is_ahead = |group: &&StartGroup| {
-            group.rank < request.rank || (group.rank == request.rank && is_late && !group.is_late)
-        };
-        let ahead_s: f64 = self
-            .groups
-            .iter()
-            .filter(is_ahead)
-            .map(|it| it.time_s)
-            .sum();
-        let total_s: f64 = self.groups.iter().map(|it| it.time_s).sum();
-        let slots_s = self.fade_time.as_secs_f64() * f64::from(slots.max(1));
+        let (mut calls_ahead_s, mut others_ahead_s, mut total_s) = (0.0, 0.0, 0.0);
+        for group in &self.groups {
+            total_s += group.time_s;
+            let is_ahead = group.rank < request.rank
+                || (group.rank == request.rank && is_late && !group.is_late);
+            if is_ahead && group.is_call {
+                calls_ahead_s += group.time_s;
+            } else if is_ahead {
+                others_ahead_s += group.time_s;
+            }
+        }
         let fading = self.fading(now);
-        (ahead_s * fading / slots_s.max(total_s * fading)).min(MAX_SHARE)
+        let slots_s = self.fade_time.as_secs_f64() * f64::from(slots.max(1));
+        let weight_of_all_s = slots_s.max(total_s * fading);
+        let calls_ahead = calls_ahead_s * fading / weight_of_all_s;
+        let mut others_ahead = others_ahead_s * fading / weight_of_all_s;
+        if request.is_call {
+            others_ahead = others_ahead.min(1.0 - CALL_SHARE);
+        }
+        (calls_ahead + others_ahead).min(MAX_SHARE)
     }
 
     /// Returns the factor by which the weights have faded since the latest start.
--- a/crates/mesh/tests/expected_waits.rs
+++ b/crates/mesh/tests/expected_waits.rs
@@ -134,6 +134,33 @@
     );
 }
 
+/// Guards against calls of running requests that are removed for more urgent requests, beside which they get a share of the
+/// time: neither those that started lately nor those that wait keep a call from its share.
+#[rstest]
+#[case::urgent_ones_started(0)]
+#[case::urgent_ones_wait(8)]
+fn calls_that_get_their_share_are_not_removed(#[case] waiting_count: usize) {
+    let (mut queue, now) = busy_queue(10);
+    for _ in 0..waiting_count {
+        let urgent = GateRequest {
+            latest_on_time_start: now + RUN_TIME * 4,
+            latest_start: now + RUN_TIME * 4,
+            ..request(now, 0)
+        };
+        let decision = queue.request_slot(now, urgent, RUN_TIME * 4);
+        assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
+    }
+    let call = GateRequest {
+        is_call: true,
+        latest_on_time_start: now + MAX_WAIT * 2,
+        latest_start: now + MAX_WAIT * 2,
+        ..request(now, 2)
+    };
+    let decision = queue.request_slot(now, call, MAX_WAIT * 2);
+    assert!(matches!(decision, GateDecision::Wait(_)), "{decision:?}");
+    assert_eq!(queue.remove_hopeless(now), []);
+}
+
 /// Guards against an account's requests that are removed for the requests of others, with which it shares the time.
 #[test]
 fn requests_of_accounts_are_not_removed() {
--- a/crates/mesh/tests/order_without_accounts.rs
+++ b/crates/mesh/tests/order_without_accounts.rs
@@ -10,8 +10,8 @@
 const CALL_SHARE: f64 = 0.4;
 const MAX_CALL_CREDIT_PER_SLOT: Duration = Duration::from_millis(50);
 
-/// The time in which a start loses most of its weight for the expected waits, and the highest share that the requests
-/// ahead are taken to use.
+/// The time in which a start loses most of its weight for the expected waits, with runs of up to 120 ms, and the highest
+/// share that the requests ahead are taken to use.
 const FADE_TIME_S: f64 = 0.25;
 const MAX_SHARE_AHEAD: f64 = 0.95;
 
@@ -23,6 +23,7 @@
 /// A request that started.
 struct Start {
     at: Instant,
+    is_call: bool,
     is_late: bool,
     rank: u32,
     time_s: f64,
@@ -82,9 +83,18 @@
             |start: &Start| start.time_s * (-(now - start.at).as_secs_f64() / FADE_TIME_S).exp();
         let is_late = request.latest_on_time_start < now;
         let is_ahead = |start: &&Start| (start.rank, start.is_late) < (request.rank, is_late);
-        let ahead_s: f64 = self.starts.iter().filter(is_ahead).map(weight).sum();
         let total_s: f64 = self.starts.iter().map(weight).sum();
-        (ahead_s / total_s.max(FADE_TIME_S * f64::from(SLOTS))).min(MAX_SHARE_AHEAD)
+        let slots_s = total_s.max(FADE_TIME_S * f64::from(SLOTS));
+        let share_of = |is_call: bool| {
+            let ahead = self.starts.iter().filter(is_ahead);
+            let ahead_s: f64 = ahead.filter(|it| it.is_call == is_call).map(weight).sum();
+            ahead_s / slots_s
+        };
+        let mut others = share_of(false);
+        if request.is_call {
+            others = others.min(1.0 - CALL_SHARE);
+        }
+        (share_of(true) + others).min(MAX_SHARE_AHEAD)
     }
 
     fn finish(&mut self, expected_run_time: Duration) {
@@ -139,6 +149,7 @@
             .retain(|start| (now - start.at).as_secs_f64() < 50.0 * FADE_TIME_S);
         self.starts.push(Start {
             at: now,
+            is_call: request.is_call,
             is_late: request.latest_on_time_start < now,
             rank: request.rank,
             time_s: request.expected_run_time.as_secs_f64(),
