Log how long a silent hop took on the way

Cause: when a gate is silent for longer than the limit, the logs can't tell whether its interim responses wait in a link, the gate's process is late, or a segment was lost. The timeline of the requests given up in planned stops stops there.

Ruled out: clocks of both sides in the line, since the time of day differs between instances and may jump.

Change: a gate says in an interim response how long it has had the request. When a silent gate sends again, the entry logs the length of the silence and what the gate's time doesn't account for. Nothing decides by it.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,4 +1,4 @@
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 
 use bytes::BytesMut;
 
@@ -140,10 +140,15 @@
     stream: &mut ByteStream,
     silence: Option<&SilenceLimit<'_>>,
 ) -> Result<ResponseHead, ExchangeError> {
+    let started_at = Instant::now();
+    let mut was_silent = false;
     loop {
         if !stream.buffer.is_empty() {
             let head = ResponseHead::take(&mut stream.buffer, MAX_HEAD_BYTES);
             if let Some(head) = head.map_err(|_| ExchangeError::InvalidResponse)? {
+                if let Some(silence) = silence.filter(|_| was_silent) {
+                    (silence.on_end)(&head, started_at.elapsed());
+                }
                 return Ok(head);
             }
         }
@@ -151,7 +156,10 @@
             Some(silence) => match tokio::time::timeout(silence.max_silence, stream.fill()).await {
                 Ok(read) => read,
                 Err(_) if (silence.may_give_up)() => return Err(ExchangeError::Silent),
-                Err(_) => continue,
+                Err(_) => {
+                    was_silent = true;
+                    continue;
+                }
             },
             None => stream.fill().await,
         };
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -13,8 +13,8 @@
 use crate::{
     app::App, byte_stream::ByteStream, exchange::exchange, exchange_error::ExchangeError,
     gate::admit_and_run, gate_call::GateCall, gate_reply::GateReply, header_list::HeaderList,
-    response::Response, run_outcome::RunOutcome, run_report::RunReport,
-    silence_limit::SilenceLimit,
+    message_head::ResponseHead, response::Response, run_outcome::RunOutcome, run_report::RunReport,
+    silence_limit::SilenceLimit, units::micros,
 };
 
 /// The longest wait for a connection to another daemon. A round trip takes milliseconds, and a lost SYN
@@ -184,9 +184,18 @@
         None => forwarded.body_rest.borrow_mut().take(),
     };
     let request = forwarded.outgoing(&extra, body_rest.as_mut());
+    let sent_at = Instant::now();
+    let log_silence_end = |head: &ResponseHead, silence: Duration| {
+        let age = head.headers.text(hop_header::AGE_MS);
+        let age = age.and_then(|text| text.parse().ok().map(Duration::from_millis));
+        // What the gate doesn't account for passed on the way.
+        let delay_us = age.map(|age| micros(sent_at.elapsed().saturating_sub(age)));
+        log::info!(event = "hop-heard", id = forwarded.id_text(), peer = address.to_string().as_str(), status = head.status, silent_us = micros(silence), delay_us = delay_us; "");
+    };
     let silence = SilenceLimit {
         may_give_up,
         max_silence: MAX_SILENCE,
+        on_end: &log_silence_end,
     };
     let bounded_exchange = timeout_at(
         (call.deadline + REPLY_GRACE).into(),
--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use medlarspool_adapter::headers;
-use medlarspool_hop::RefusalReason;
+use medlarspool_hop::{RefusalReason, hop_header};
 use tokio::{
     sync::mpsc,
     time::{sleep_until, timeout, timeout_at},
@@ -60,6 +60,8 @@
     reading: Reading,
     /// The number of replies that were queued so far.
     reply_count: u64,
+    /// When the latest request was handled first.
+    requested_at: Instant,
     stream: ByteStream,
     turns: Rc<ReplyTurns>,
 }
@@ -101,6 +103,7 @@
             pending_replies: FuturesOrdered::new(),
             reading: Reading::Head { started_at: None },
             reply_count: 0,
+            requested_at: Instant::now(),
             stream,
             turns: Rc::default(),
         }
@@ -148,7 +151,8 @@
                     }
                 }
                 () = sleep_for(interim_after), if interim_after.is_some() && !self.pending_replies.is_empty() => {
-                    if self.stream.write(INTERIM_RESPONSE).await.is_err() {
+                    let interim = interim_response(self.requested_at.elapsed());
+                    if self.stream.write(interim.as_bytes()).await.is_err() {
                         return;
                     }
                 }
@@ -286,8 +290,9 @@
     ) {
         let keeps_alive = head.keeps_alive();
         let id = head.headers.get(headers::REQUEST_ID).cloned();
+        self.requested_at = Instant::now();
         let incoming = IncomingRequest {
-            arrived_at: Instant::now(),
+            arrived_at: self.requested_at,
             body,
             client_ip: self.client_ip,
             framing,
@@ -473,8 +478,14 @@
     }
 }
 
-/// The interim response that shows another daemon that its request arrived and is being handled.
-const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+/// Returns an interim response, which shows another daemon that its request arrived `age` ago and is being handled.
+fn interim_response(age: std::time::Duration) -> String {
+    let age_ms = age.as_millis();
+    format!(
+        "HTTP/1.1 102 Processing\r\n{}: {age_ms}\r\n\r\n",
+        hop_header::AGE_MS
+    )
+}
 
 /// Awaits `work`, and reads a response's body ahead as long as that takes.
 async fn read_ahead_during<T>(body: &mut ResponseBody, work: impl Future<Output = T>) -> T {
--- a/crates/hop/src/hop_header.rs
+++ b/crates/hop/src/hop_header.rs
@@ -3,6 +3,8 @@
 
 /// The digest of the client's key and the name of its account; absent for requests that need no key.
 pub const ACCOUNT: &str = "Medlarspool-Account";
+/// How long after the arrival of its request a gate wrote an interim response, in milliseconds.
+pub const AGE_MS: &str = "Medlarspool-Age-Ms";
 /// Marks a request that only queries the fate of an earlier hop; holds the incarnation of the daemon that the
 /// hop was sent to, since a later incarnation has no record of it.
 pub const ATTACH: &str = "Medlarspool-Attach";
