Keep a silent hop open while a second copy is tried

What callers saw: 502 in the middle of planned stops, seconds before the deadline, while a target ran their request.

Cause: silence was taken for the loss of the gate. An entry closed a hop without a byte for 400 ms, which cut the run off, and then looked for another target; if none took the request, nothing was left. It didn't do so during its own planned stop, but a request that it had given up before the signal was answered after it. Class of the fault: work is ended on a suspicion, without anything to put in its place.

Weighed: a longer limit moves the fault. To give up no hop at all leaves requests waiting for gates that are gone.

Change: a hop of an idempotent request stays open until it ends by itself. While it is silent, a second copy is sent as before, within budget and attempts; the first answer counts, and the other copy is cancelled. A refused, failed or lost copy ends the request only if no other one is pending. A copy that was counted as an arrival and did not run is given back. A request whose long body only the first copy has is not sent again after a failure of its target either.

--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -2,7 +2,11 @@
 
 use medlarspool_hop::RefusalReason;
 
-use crate::{failure::Failure, reply::Reply};
+use crate::{
+    failure::{Failure, RETRY_UNCONFIRMED_AFTER},
+    pending_hops::PendingHop,
+    reply::Reply,
+};
 
 /// The shortest retry delay that a client is given: the time of two hops.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -42,6 +46,42 @@
         (self.canary_count > 0).then_some(self.canary_count)
     }
 
+    /// Records that a copy arrived at a target, or may have, unless that was recorded before.
+    pub(crate) fn record_arrival(&mut self, hop: &PendingHop<'_>) {
+        self.arrival_count += u32::from(!hop.is_counted);
+        self.exclude(hop);
+        self.failed_at_canary |= hop.choice.is_canary;
+    }
+
+    /// Records that a copy did not run; `gate_wait` is how long the gate would have made it wait.
+    pub(crate) fn record_not_run(
+        &mut self,
+        hop: &PendingHop<'_>,
+        reason: RefusalReason,
+        gate_wait: Duration,
+    ) {
+        self.exclude(hop);
+        self.not_run_count += 1;
+        self.last_reason = Some(reason);
+        if reason == RefusalReason::TargetRefused {
+            self.record_arrival(hop);
+        } else if hop.is_counted {
+            self.arrival_count -= 1;
+        }
+        match reason {
+            RefusalReason::Busy => self.record_wait(gate_wait),
+            RefusalReason::Unconfirmed => self.record_wait(RETRY_UNCONFIRMED_AFTER),
+            _ => {}
+        }
+    }
+
+    fn exclude(&mut self, hop: &PendingHop<'_>) {
+        let address = hop.choice.address;
+        if !self.excluded_daemons.contains(&address) {
+            self.excluded_daemons.push(address);
+        }
+    }
+
     /// Records the time after which a busy gate may have room.
     pub(crate) fn record_wait(&mut self, wait: Duration) {
         self.min_wait = Some(self.min_wait.map_or(wait, |other| other.min(wait)));
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -15,19 +15,19 @@
     app::App,
     attempts::Attempts,
     client_account::ClientAccount,
-    failure::{Failure, RETRY_UNCONFIRMED_AFTER},
+    failure::Failure,
     fault_injection::reach,
     fault_point::FaultPoint,
     forwarded_request::ForwardedRequest,
     gate_call::GateCall,
     gate_reply::GateReply,
-    hop::forward_to_gate,
     hop_route::HopRoute,
     in_flight_guard::InFlightGuard,
+    next_step::NextStep,
+    pending_hops::{HopEvent, PendingHop, PendingHops},
     quota_admission::take_credit,
     reply::Reply,
     run_outcome::RunOutcome,
-    stop_phase::StopPhase,
     target_headers::says_it_leaves,
     units::micros,
 };
@@ -178,77 +178,137 @@
         failure.reply(self.forwarded.id.as_ref())
     }
 
-    /// Makes one attempt after the other; returns the response of a target, or why there is none.
+    /// Sends copies of the request to targets until one answers; returns its response, or why there is none.
+    ///
+    /// Another copy is sent only while no other one is on its way, or while all gates that have one are silent.
     async fn attempt_targets(
         &self,
         app: &Rc<App>,
         attempts: &mut Attempts,
     ) -> Result<Reply, Failure> {
+        let mut hops = PendingHops::default();
         loop {
-            let remaining = self.deadline.saturating_duration_since(Instant::now());
-            if remaining < MIN_TIME_TO_SEND {
-                return Err(attempts.give_up(RefusalReason::Deadline));
+            let sent = self.send_copy(app, attempts, &mut hops).await;
+            // The gates that are silent may still answer.
+            if let Err(failure) = sent
+                && hops.is_empty()
+            {
+                return Err(failure);
             }
-            let choice = self.choose(app, attempts).await?;
-            let in_flight = InFlightGuard {
-                address: choice.address,
-                app,
-                is_download: self.route.is_download,
-            };
-            reach(FaultPoint::Entry, self.forwarded.id_text());
-            let call = self.gate_call(app, attempts, &choice);
-            let seems_busy = choice.expected_wait > call.max_wait;
-            if seems_busy && !self.may_ask_busy_gate(app) {
-                // By the latest loads that the gates reported, each of them would refuse the request.
-                attempts.record_wait(choice.expected_wait.saturating_sub(call.max_wait));
-                return Err(attempts.give_up(RefusalReason::Busy));
+            loop {
+                match self.handle_event(app, attempts, &mut hops).await? {
+                    NextStep::Answer(reply) => return Ok(reply),
+                    NextStep::SendCopy => break,
+                    NextStep::Wait => {}
+                }
             }
-            let has_body_rest = self.forwarded.body_rest.borrow().is_some();
-            if choice.is_canary {
-                self.record_canary_send(app, attempts);
+        }
+    }
+
+    /// Sends a copy of the request to the gate of the best target.
+    async fn send_copy<'a>(
+        &self,
+        app: &'a Rc<App>,
+        attempts: &mut Attempts,
+        hops: &mut PendingHops<'a>,
+    ) -> Result<(), Failure> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        if remaining < MIN_TIME_TO_SEND {
+            return Err(attempts.give_up(RefusalReason::Deadline));
+        }
+        let choice = self.choose(app, attempts).await?;
+        let in_flight = InFlightGuard {
+            address: choice.address,
+            app,
+            is_download: self.route.is_download,
+        };
+        reach(FaultPoint::Entry, self.forwarded.id_text());
+        let call = self.gate_call(app, attempts, &choice);
+        let seems_busy = choice.expected_wait > call.max_wait;
+        if seems_busy && !self.may_ask_busy_gate(app) {
+            // By the latest loads that the gates reported, each of them would refuse the request.
+            attempts.record_wait(choice.expected_wait.saturating_sub(call.max_wait));
+            return Err(attempts.give_up(RefusalReason::Busy));
+        }
+        if choice.is_canary {
+            self.record_canary_send(app, attempts);
+        }
+        hops.send(app, choice, call, in_flight, seems_busy);
+        Ok(())
+    }
+
+    /// Waits for the next event of the pending copies; returns an error if there is nothing left to wait for.
+    async fn handle_event(
+        &self,
+        app: &Rc<App>,
+        attempts: &mut Attempts,
+        hops: &mut PendingHops<'_>,
+    ) -> Result<NextStep, Failure> {
+        match hops.next_event().await {
+            HopEvent::Replied(hop, reply) => {
+                self.record_reply(app, &hop.choice, &reply);
+                self.handle_reply(app, attempts, hops, &hop, reply)
             }
-            // The hop of an at-most-once request may always be given up: its gate is asked for the outcome then.
-            // The hop of an idempotent one isn't given up during a planned stop, or if no other target would run
-            // the request, since the response may still come.
-            let may_give_up = || match self.route.retry_safety {
-                RetrySafety::AtMostOnce => true,
-                RetrySafety::Idempotent => {
-                    app.stop_phase.get() == StopPhase::Serving
-                        && self.has_other_target(app, attempts, &choice)
-                }
-            };
-            let reply = forward_to_gate(app, choice.address, call, &may_give_up).await;
-            drop(in_flight);
-            self.record_reply(app, &choice, &reply);
-            match reply.outcome {
-                RunOutcome::Answered(response) => {
-                    attempts.arrival_count += 1;
-                    let is_error = response.status >= 500;
-                    let reply = Reply::from(response);
-                    if is_error && self.try_begin_retry(app, attempts, &choice) {
-                        attempts.error_response = Some(reply);
-                        continue;
-                    }
-                    return Ok(reply);
-                }
-                RunOutcome::Lost(reason) => {
-                    attempts.arrival_count += 1;
-                    attempts.may_have_run = true;
-                    if has_body_rest || !self.try_begin_retry(app, attempts, &choice) {
-                        return Err(Failure::may_have_run(reason));
-                    }
-                }
-                RunOutcome::NotRun(reason) => {
-                    if seems_busy && reason == RefusalReason::Busy {
-                        self.record_account_refusal(app);
-                    }
-                    let wait_us = reply.load.map_or(0, |load| load.wait_us);
-                    self.handle_not_run(app, attempts, &choice, reason, wait_us)?;
-                    if has_body_rest {
-                        return Err(attempts.give_up(reason));
-                    }
+            HopEvent::Silent(index) => {
+                let sends_copy = !hops.has_responsive()
+                    && self.begin_second_copy(app, attempts, hops.get_mut(index));
+                Ok(if sends_copy {
+                    NextStep::SendCopy
+                } else {
+                    NextStep::Wait
+                })
+            }
+        }
+    }
+
+    /// Handles a gate's reply to a copy that isn't pending any more.
+    fn handle_reply(
+        &self,
+        app: &Rc<App>,
+        attempts: &mut Attempts,
+        hops: &PendingHops<'_>,
+        hop: &PendingHop<'_>,
+        reply: GateReply,
+    ) -> Result<NextStep, Failure> {
+        let (reason, is_not_run) = match reply.outcome {
+            RunOutcome::Answered(response) if response.status < 500 => {
+                return Ok(NextStep::Answer(Reply::from(response)));
+            }
+            RunOutcome::Answered(response) => {
+                attempts.record_arrival(hop);
+                attempts.error_response = Some(Reply::from(response));
+                (RefusalReason::TargetFailed, false)
+            }
+            RunOutcome::Lost(reason) => {
+                attempts.record_arrival(hop);
+                attempts.may_have_run = true;
+                (reason, false)
+            }
+            RunOutcome::NotRun(reason) => {
+                if hop.seems_busy && reason == RefusalReason::Busy {
+                    self.record_account_refusal(app);
                 }
+                let wait_us = reply.load.map_or(0, |load| load.wait_us);
+                attempts.record_not_run(hop, reason, Duration::from_micros(wait_us.into()));
+                (reason, true)
             }
+        };
+        if hops.has_responsive() {
+            return Ok(NextStep::Wait);
+        }
+        let checked = if hop.has_body_rest {
+            Err(attempts.give_up(reason))
+        } else if is_not_run {
+            self.check_not_run(app, attempts, reason)
+        } else if self.try_begin_retry(app, attempts) {
+            Ok(())
+        } else {
+            Err(attempts.give_up(reason))
+        };
+        match checked {
+            Ok(()) => Ok(NextStep::SendCopy),
+            Err(failure) if hops.is_empty() => Err(failure),
+            Err(_) => Ok(NextStep::Wait),
         }
     }
 
@@ -274,18 +334,13 @@
         }
     }
 
-    /// Records an attempt that ended without a run; returns an error if no further attempt is allowed.
-    fn handle_not_run(
+    /// Returns an error if no other copy may be sent after one that did not run.
+    fn check_not_run(
         &self,
         app: &Rc<App>,
         attempts: &mut Attempts,
-        choice: &TargetChoice,
         reason: RefusalReason,
-        wait_us: u32,
     ) -> Result<(), Failure> {
-        attempts.excluded_daemons.push(choice.address);
-        attempts.not_run_count += 1;
-        attempts.last_reason = Some(reason);
         match reason {
             RefusalReason::Quarantined => return Err(attempts.give_up(reason)),
             // The gate may have had a newer configuration, which has arrived here meanwhile.
@@ -293,8 +348,6 @@
                 return Err(Failure::not_run(RefusalReason::Unauthorized));
             }
             RefusalReason::TargetRefused => {
-                attempts.arrival_count += 1;
-                attempts.failed_at_canary |= choice.is_canary;
                 if attempts.arrival_count >= self.route.max_attempts {
                     return Err(attempts.give_up(RefusalReason::AttemptsUsedUp));
                 }
@@ -302,10 +355,6 @@
                     return Err(attempts.give_up(RefusalReason::NoBudget));
                 }
             }
-            RefusalReason::Unconfirmed => attempts.record_wait(RETRY_UNCONFIRMED_AFTER),
-            RefusalReason::Busy => {
-                attempts.record_wait(Duration::from_micros(wait_us.into()));
-            }
             _ => {}
         }
         if attempts.not_run_count > MAX_NOT_RUN_ATTEMPTS {
@@ -322,22 +371,31 @@
         })
     }
 
-    /// Begins a retry of a request that may have run, if it is allowed: excludes the target, and counts and
-    /// logs the retry. Returns whether it is allowed.
-    ///
-    /// A run whose calls fail mostly is not repeated: it would work for nothing, and its calls would take room from
-    /// those of other runs.
-    fn try_begin_retry(
+    /// Begins another copy of a request whose hop is silent, if it would most likely run and is allowed; the silent one
+    /// counts as an arrival from then on.
+    fn begin_second_copy(
         &self,
         app: &Rc<App>,
         attempts: &mut Attempts,
-        choice: &TargetChoice,
+        hop: &mut PendingHop<'_>,
     ) -> bool {
+        if hop.has_body_rest || !self.has_other_target(app, attempts, hop) {
+            return false;
+        }
+        attempts.record_arrival(hop);
+        hop.is_counted = true;
+        self.try_begin_retry(app, attempts)
+    }
+
+    /// Begins a retry of a request that may have run, if it is allowed: counts and logs it. Returns whether it is
+    /// allowed.
+    ///
+    /// A run whose calls fail mostly is not repeated: it would work for nothing, and its calls would take room from
+    /// those of other runs.
+    fn try_begin_retry(&self, app: &Rc<App>, attempts: &mut Attempts) -> bool {
         let is_retried = self.may_retry(app, attempts.arrival_count)
             && self.take_from_retry_budget(app, attempts);
-        attempts.failed_at_canary |= choice.is_canary;
         if is_retried {
-            attempts.excluded_daemons.push(choice.address);
             app.metrics.retries.inc();
             log::info!(event = "repeat", id = self.forwarded.id_text(), service = &*self.service, arrivals = attempts.arrival_count, canaries = attempts.logged_canary_count(); "");
         }
@@ -351,27 +409,27 @@
         self.route.retry_safety == RetrySafety::Idempotent
             && arrival_count < self.route.max_attempts
             && remaining > self.route.assumed_run_time()
-            && self.forwarded.body_rest.borrow().is_none()
             && !app
                 .core
                 .with(|node, _| node.route_costs.calls_fail_mostly(self.route.key))
     }
 
-    /// Returns whether a request whose hop to the present choice is silent would most likely run at another target:
-    /// whether a retry is allowed, the budget covers it, and a gate has room for it.
-    fn has_other_target(&self, app: &Rc<App>, attempts: &Attempts, present: &TargetChoice) -> bool {
-        if !self.may_retry(app, attempts.arrival_count + 1) {
+    /// Returns whether a request whose hop is silent would most likely run at another target: whether a retry is
+    /// allowed, the budget covers it, and a gate has room for it.
+    fn has_other_target(&self, app: &Rc<App>, attempts: &Attempts, hop: &PendingHop<'_>) -> bool {
+        let arrival_count = attempts.arrival_count + u32::from(!hop.is_counted);
+        if !self.may_retry(app, arrival_count) {
             return false;
         }
         let mut excluded_daemons = attempts.excluded_daemons.clone();
-        excluded_daemons.push(present.address);
+        excluded_daemons.push(hop.choice.address);
         let other = app.core.with(|node, cx| {
             let now = cx.now();
             let daemon_count = node.directory.alive_count(now);
             let costs = node.route_costs.of_retry(self.route.key, &self.service);
             let query = self.target_query(&excluded_daemons);
             let is_covered = node.retry_budget.covers(now, &costs, daemon_count);
-            let avoids_canaries = attempts.failed_at_canary;
+            let avoids_canaries = attempts.failed_at_canary || hop.choice.is_canary;
             is_covered.then(|| node.choose_by_version(now, &query, avoids_canaries))?
         });
         other.is_some_and(|other| {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -155,7 +155,7 @@
         let read = match silence {
             Some(silence) => match tokio::time::timeout(silence.max_silence, stream.fill()).await {
                 Ok(read) => read,
-                Err(_) if (silence.may_give_up)() => return Err(ExchangeError::Silent),
+                Err(_) if (silence.on_silence)() => return Err(ExchangeError::Silent),
                 Err(_) => {
                     was_silent = true;
                     continue;
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -31,9 +31,8 @@
 /// After how long without a final response a gate sends an interim response to the entry.
 pub(crate) const INTERIM_AFTER: Duration = Duration::from_millis(120);
 
-/// How long a gate may be silent before the hop counts as lost. One lost segment may delay an interim response: a
-/// limit of 350 ms, with an interim response every 150 ms, gave up about 15 hops a second to live gates on a fleet
-/// of 78 instances.
+/// How long a gate may be silent before it is asked for the outcome of an at-most-once request, or another copy of an
+/// idempotent one is sent. One lost segment may delay an interim response, and so does a congested link, by any time.
 const MAX_SILENCE: Duration = INTERIM_AFTER
     .saturating_add(RETRANSMISSION_TIMEOUT)
     .saturating_add(INTERIM_DELAY_MARGIN);
@@ -44,12 +43,13 @@
 
 /// Forwards a request to the gate of the chosen target and returns the gate's reply.
 ///
-/// A silent hop is given up if `may_give_up` returns true.
+/// `on_silence` is called with `true` after each [`MAX_SILENCE`] without a byte, and with `false` when the gate sends
+/// again. If it returns true, the hop is given up.
 pub(crate) async fn forward_to_gate(
     app: &Rc<App>,
     address: SocketAddr,
     call: GateCall,
-    may_give_up: &dyn Fn() -> bool,
+    on_silence: &dyn Fn(bool) -> bool,
 ) -> GateReply {
     if address == app.settings.peer_address {
         return admit_and_run(app.clone(), call).await;
@@ -67,7 +67,7 @@
             Err(outcome) => return GateReply::without_gate(outcome),
         },
     };
-    match send(app, address, stream, &call, None, may_give_up).await {
+    match send(app, address, stream, &call, None, on_silence).await {
         Ok(reply) => reply,
         Err(error) => {
             log::info!(event = "hop-lost", id = call.forwarded.id_text(), peer = address.to_string().as_str(), error = error.to_string().as_str(), kept = was_pooled; "");
@@ -99,7 +99,7 @@
     while call.deadline > Instant::now() {
         match connect(app, address, call.deadline).await {
             Ok(stream) => {
-                let result = send(app, address, stream, &call, Some(incarnation), &|| true).await;
+                let result = send(app, address, stream, &call, Some(incarnation), &|_| true).await;
                 if let Ok(reply) = result {
                     log::info!(event = "hop-settled", id = call.forwarded.id_text(), peer = address.to_string().as_str(); "");
                     return reply;
@@ -150,7 +150,7 @@
     stream: ByteStream,
     call: &GateCall,
     attach_incarnation: Option<u64>,
-    may_give_up: &dyn Fn() -> bool,
+    on_silence: &dyn Fn(bool) -> bool,
 ) -> Result<GateReply, ExchangeError> {
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     let forwarded = &call.forwarded;
@@ -185,7 +185,8 @@
     };
     let request = forwarded.outgoing(&extra, body_rest.as_mut());
     let sent_at = Instant::now();
-    let log_silence_end = |head: &ResponseHead, silence: Duration| {
+    let end_silence = |head: &ResponseHead, silence: Duration| {
+        on_silence(false);
         let age = head.headers.text(hop_header::AGE_MS);
         let age = age.and_then(|text| text.parse().ok().map(Duration::from_millis));
         // What the gate doesn't account for passed on the way.
@@ -193,9 +194,9 @@
         log::info!(event = "hop-heard", id = forwarded.id_text(), peer = address.to_string().as_str(), status = head.status, silent_us = micros(silence), delay_us = delay_us; "");
     };
     let silence = SilenceLimit {
-        may_give_up,
         max_silence: MAX_SILENCE,
-        on_end: &log_silence_end,
+        on_end: &end_silence,
+        on_silence: &|| on_silence(true),
     };
     let bounded_exchange = timeout_at(
         (call.deadline + REPLY_GRACE).into(),
