Keep the hop of a silent at-most-once request open while its gate is asked

What callers saw: 502 at the deadline for orders that a target had answered in time.

A hop without a byte for 400 ms was closed, and the gate was asked for the outcome over new connections, each of which was given up after 250 ms without a connection or 400 ms without a byte. Behind a congested link, which delays messages by 0.3 to 1.1 s, none of them came through, while the answer came in vain on the first one. A gate that had no outcome for the question ended the request at once.

Ruled out: gates that were down (their connections are refused or reset).

Change: the connection stays open, and the first outcome counts, whether as a reply to the request or to the question. A gate gives a reply that is read whole to all who wait for it. Connections of questions wait for as long as a lost SYN packet takes to be sent again. Nothing ends an exchange for silence any more, so that the error for it goes.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,6 +1,7 @@
 use std::{rc::Rc, time::Instant};
 
 use bytes::BytesMut;
+use tokio::time::timeout;
 
 use crate::{
     body_decoder::{BodyDecoder, Decoded},
@@ -153,14 +154,15 @@
             }
         }
         let read = match silence {
-            Some(silence) => match tokio::time::timeout(silence.max_silence, stream.fill()).await {
-                Ok(read) => read,
-                Err(_) if (silence.on_silence)() => return Err(ExchangeError::Silent),
-                Err(_) => {
+            Some(silence) => {
+                let filled = timeout(silence.max_silence, stream.fill()).await;
+                let Ok(read) = filled else {
                     was_silent = true;
+                    (silence.on_silence)();
                     continue;
-                }
-            },
+                };
+                read
+            }
             None => stream.fill().await,
         };
         if !matches!(read, Ok(1..)) {
--- a/crates/edge/src/exchange_error.rs
+++ b/crates/edge/src/exchange_error.rs
@@ -9,6 +9,4 @@
     ConnectionLost,
     /// the client's body broke off
     RequestBodyAborted,
-    /// the connection was silent for too long
-    Silent,
 }
--- a/crates/edge/src/gate_reply.rs
+++ b/crates/edge/src/gate_reply.rs
@@ -1,5 +1,6 @@
 use std::time::Instant;
 
+use medlarspool_hop::RefusalReason;
 use medlarspool_mesh::TargetLoad;
 
 use crate::{run_outcome::RunOutcome, run_report::RunReport};
@@ -23,6 +24,11 @@
         }
     }
 
+    /// Returns whether the gate told what became of the request.
+    pub(crate) const fn has_outcome(&self) -> bool {
+        !matches!(self.outcome, RunOutcome::Lost(RefusalReason::HopLost))
+    }
+
     /// Gives back what a streamed body holds besides its connection, such as the slot of the run.
     pub(crate) fn release_guards(&mut self) {
         if let RunOutcome::Answered(response) = &mut self.outcome
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -1,5 +1,6 @@
 use std::{
     net::SocketAddr,
+    pin::{Pin, pin},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -8,7 +9,7 @@
 use medlarspool_hop::{RefusalReason, hop_header};
 use medlarspool_mesh::{CalledService, RetrySafety, TargetLimit, TargetLoad};
 use medlarspool_types::Verdict;
-use tokio::time::timeout_at;
+use tokio::{sync::Notify, time::timeout_at};
 
 use crate::{
     app::App, byte_stream::ByteStream, exchange::exchange, exchange_error::ExchangeError,
@@ -21,6 +22,13 @@
 /// packet is sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The longest wait for a connection over which a gate is asked for an outcome. Nobody else knows it, so this is longer
+/// than it takes to send a lost SYN packet again, or a packet through a congested link.
+const QUESTION_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// How often a gate is asked for the outcome of a request, if the connections are lost.
+const MAX_QUESTIONS: usize = 8;
+
 /// After how long a lost TCP segment is sent again for the first time.
 const RETRANSMISSION_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -43,13 +51,14 @@
 
 /// Forwards a request to the gate of the chosen target and returns the gate's reply.
 ///
-/// `on_silence` is called with `true` after each [`MAX_SILENCE`] without a byte, and with `false` when the gate sends
-/// again. If it returns true, the hop is given up.
+/// A silent gate may still run the request, so its connection stays open. Over another one, it is asked for the outcome
+/// of an at-most-once request. `on_silence` is called with `true` after each [`MAX_SILENCE`] without a byte, and with
+/// `false` when the gate sends again.
 pub(crate) async fn forward_to_gate(
     app: &Rc<App>,
     address: SocketAddr,
     call: GateCall,
-    on_silence: &dyn Fn(bool) -> bool,
+    on_silence: &dyn Fn(bool),
 ) -> GateReply {
     if address == app.settings.peer_address {
         return admit_and_run(app.clone(), call).await;
@@ -62,51 +71,89 @@
     let was_pooled = pooled.is_some();
     let stream = match pooled {
         Some(stream) => stream,
-        None => match connect(app, address, call.deadline).await {
+        None => match connect(app, address, call.deadline, CONNECT_TIMEOUT).await {
             Ok(stream) => stream,
             Err(outcome) => return GateReply::without_gate(outcome),
         },
     };
-    match send(app, address, stream, &call, None, on_silence).await {
-        Ok(reply) => reply,
-        Err(error) => {
+    let became_silent = Notify::new();
+    let observe_silence = |is_silent| {
+        on_silence(is_silent);
+        if is_silent {
+            became_silent.notify_one();
+        }
+    };
+    let sending = async {
+        let sent = send(app, address, stream, &call, None, &observe_silence).await;
+        if let Err(error) = &sent {
             log::info!(event = "hop-lost", id = call.forwarded.id_text(), peer = address.to_string().as_str(), error = error.to_string().as_str(), kept = was_pooled; "");
             if was_pooled {
                 // Other pooled connections to the same daemon are probably lost too.
                 app.peer_pool.clear(address);
             }
-            resolve_lost_hop(app, address, call, error, incarnation).await
         }
+        sent
+    };
+    let mut sending = pin!(sending);
+    let can_ask = call.route.retry_safety == RetrySafety::AtMostOnce && call.forwarded.id.is_some();
+    let sent = tokio::select! {
+        biased;
+        sent = &mut sending => Some(sent),
+        () = became_silent.notified(), if can_ask => None,
+    };
+    let question = ask_for_outcome(app, address, &call, incarnation);
+    match sent {
+        Some(Ok(reply)) => reply,
+        Some(Err(ExchangeError::RequestBodyAborted)) if can_ask => {
+            GateReply::without_gate(RunOutcome::Lost(RefusalReason::TargetFailed))
+        }
+        Some(Err(_)) if can_ask => question.await,
+        Some(Err(_)) => GateReply::without_gate(RunOutcome::Lost(RefusalReason::HopLost)),
+        None => first_outcome(sending, question).await,
     }
 }
 
-/// Asks the gate for the outcome of an at-most-once request whose hop was lost, until the deadline.
-///
-/// Other requests, and those without an id, may have run.
-async fn resolve_lost_hop(
+/// Returns the first outcome that a gate tells, as a reply to the request itself or to the question for its outcome.
+async fn first_outcome(
+    mut sending: Pin<&mut impl Future<Output = Result<GateReply, ExchangeError>>>,
+    question: impl Future<Output = GateReply>,
+) -> GateReply {
+    let mut question = pin!(question);
+    tokio::select! {
+        biased;
+        sent = &mut sending => match sent {
+            Ok(reply) if reply.has_outcome() => reply,
+            // The gate may have given the outcome as an answer to the question.
+            Ok(_) | Err(_) => question.await,
+        },
+        reply = &mut question => {
+            if reply.has_outcome() {
+                reply
+            } else {
+                sending.await.unwrap_or(reply)
+            }
+        }
+    }
+}
+
+/// Asks a gate for the outcome of an at-most-once request, until the deadline.
+async fn ask_for_outcome(
     app: &Rc<App>,
     address: SocketAddr,
-    call: GateCall,
-    error: ExchangeError,
+    call: &GateCall,
     incarnation: u64,
 ) -> GateReply {
-    if call.route.retry_safety == RetrySafety::Idempotent || call.forwarded.id.is_none() {
-        return GateReply::without_gate(RunOutcome::Lost(RefusalReason::HopLost));
-    }
-    if error == ExchangeError::RequestBodyAborted {
-        return GateReply::without_gate(RunOutcome::Lost(RefusalReason::TargetFailed));
-    }
-    while call.deadline > Instant::now() {
-        match connect(app, address, call.deadline).await {
+    for _ in 0..MAX_QUESTIONS {
+        match connect(app, address, call.deadline, QUESTION_CONNECT_TIMEOUT).await {
             Ok(stream) => {
-                let result = send(app, address, stream, &call, Some(incarnation), &|_| true).await;
-                if let Ok(reply) = result {
+                let answer = send(app, address, stream, call, Some(incarnation), &|_| ()).await;
+                if let Ok(reply) = answer {
                     log::info!(event = "hop-settled", id = call.forwarded.id_text(), peer = address.to_string().as_str(); "");
                     return reply;
                 }
             }
             // The daemon is down; it will know nothing of the request after a restart.
-            Err(RunOutcome::NotRun(RefusalReason::NoTarget)) => break,
+            Err(RunOutcome::NotRun(RefusalReason::NoTarget | RefusalReason::Deadline)) => break,
             Err(_) => {}
         }
     }
@@ -118,10 +165,11 @@
     app: &Rc<App>,
     address: SocketAddr,
     deadline: Instant,
+    connect_timeout: Duration,
 ) -> Result<ByteStream, RunOutcome> {
     let connecting = timeout_at(
         deadline.into(),
-        ByteStream::connect(address, CONNECT_TIMEOUT),
+        ByteStream::connect(address, connect_timeout),
     );
     match connecting.await {
         Ok(Ok(stream)) => Ok(stream),
@@ -150,7 +198,7 @@
     stream: ByteStream,
     call: &GateCall,
     attach_incarnation: Option<u64>,
-    on_silence: &dyn Fn(bool) -> bool,
+    on_silence: &dyn Fn(bool),
 ) -> Result<GateReply, ExchangeError> {
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     let forwarded = &call.forwarded;
--- a/crates/edge/src/pending_hops.rs
+++ b/crates/edge/src/pending_hops.rs
@@ -1,6 +1,6 @@
 use std::{cell::Cell, future::poll_fn, pin::Pin, rc::Rc, task::Poll};
 
-use medlarspool_mesh::{RetrySafety, TargetChoice};
+use medlarspool_mesh::TargetChoice;
 
 use crate::{
     app::App, gate_call::GateCall, gate_reply::GateReply, hop::forward_to_gate,
@@ -62,13 +62,9 @@
         let observed = silence.clone();
         let reply = Box::pin(async move {
             let _in_flight = in_flight;
-            // The hop of an at-most-once request may always be given up: its run goes on, and its gate is asked for
-            // the outcome.
-            let gives_up = call.route.retry_safety == RetrySafety::AtMostOnce;
             let on_silence = |is_silent| {
                 observed.is_silent.set(is_silent);
                 observed.is_unhandled.set(is_silent);
-                gives_up
             };
             forward_to_gate(app, address, call, &on_silence).await
         });
--- a/crates/edge/src/run_table.rs
+++ b/crates/edge/src/run_table.rs
@@ -70,26 +70,30 @@
         Some(receiver)
     }
 
-    /// Records the end of a run and sends the reply to the latest waiter that is still there.
+    /// Records the end of a run and sends the reply to all waiters, since the connection of each one may be lost already.
     ///
-    /// A copy is retained, since the connection on which the reply is sent may be lost already. A reply whose body is
-    /// streamed is retained only if nobody waits for it; it gives back the slot of its run.
+    /// For the same reason it is retained. A reply whose body is streamed goes only to the latest waiter that is still
+    /// there, and is retained only if nobody waits for it; it gives back the slot of its run.
     pub(crate) fn end(&self, key: &RunKey, reply: GateReply) {
-        let copy = reply.copy();
-        let mut reply = Some(reply);
-        let ended_at = Instant::now();
         let ended = Run::Ended {
-            ended_at,
+            ended_at: Instant::now(),
             reply: None,
         };
         let known = self.runs.borrow_mut().insert(key.clone(), ended);
+        let mut retained = Some(reply);
         if let Some(Run::Running(waiters)) = known {
             for sender in waiters.into_iter().rev() {
-                let Some(ready) = reply.take() else { break };
-                reply = sender.send(ready).err();
+                let Some(reply) = retained.take() else { break };
+                retained = match reply.copy() {
+                    Some(copy) => {
+                        // An error means that nobody waits on this connection any more.
+                        let _ = sender.send(copy);
+                        Some(reply)
+                    }
+                    None => sender.send(reply).err(),
+                };
             }
         }
-        let mut retained = reply.or(copy);
         if let Some(reply) = &mut retained {
             // This may run timers, one of which sweeps the table, so the table isn't borrowed here.
             reply.release_guards();
--- a/crates/edge/src/silence_limit.rs
+++ b/crates/edge/src/silence_limit.rs
@@ -8,6 +8,6 @@
     pub(crate) max_silence: Duration,
     /// Called with the first head after a silence of `max_silence` or more, and with the length of the silence.
     pub(crate) on_end: &'a dyn Fn(&ResponseHead, Duration),
-    /// Called after each `max_silence` without a byte; returns whether the exchange is given up.
-    pub(crate) on_silence: &'a dyn Fn() -> bool,
+    /// Called after each `max_silence` without a byte.
+    pub(crate) on_silence: &'a dyn Fn(),
 }
