Tell the outcome of an at-most-once run each time it is asked for

What callers saw: nothing yet. If the connection on which a gate told the outcome was lost as well, the next question got "may have run", and the caller 502 for an order that had run.

Cause: the first question took the reply out of the table.

Ruled out: replies with a streamed body, which can be told once only.

Change: a reply that was read whole stays in the table for as long as it is retained.

--- a/crates/edge/src/run_table.rs
+++ b/crates/edge/src/run_table.rs
@@ -111,9 +111,9 @@
         }
         let mut runs = self.runs.borrow_mut();
         if let Some(Run::Ended { reply, .. }) = runs.get_mut(key) {
-            return reply
-                .take()
-                .map_or(AttachResult::Unavailable, AttachResult::Ended);
+            let copy = reply.as_ref().and_then(GateReply::copy);
+            let told = copy.or_else(|| reply.take());
+            return told.map_or(AttachResult::Unavailable, AttachResult::Ended);
         }
         let ended_at = Instant::now();
         runs.insert(
