Bound the copies of a request whose gates are silent

Cause: only copies after which another one had begun were counted; each silence asked anew.

Change: pending copies count towards the route's limit, whatever becomes of them. A refusal that rules out further copies, and a panic, hold for the rest of the request. While a target's error response is at hand, other copies are awaited until 50 ms before the deadline. A panic ends the copy in which it happens. A copy that was paid for and did not run pays for the next one.

--- a/crates/edge/src/attempts.rs
+++ b/crates/edge/src/attempts.rs
@@ -1,6 +1,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use medlarspool_hop::RefusalReason;
+use medlarspool_mesh::TargetChoice;
 
 use crate::{
     failure::{Failure, RETRY_UNCONFIRMED_AFTER},
@@ -15,6 +16,7 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 /// The results of a request's attempts so far.
+#[allow(clippy::struct_excessive_bools)] // They are independent facts.
 #[derive(Default)]
 pub(crate) struct Attempts {
     /// The attempts that arrived at a target, or may have.
@@ -27,6 +29,10 @@
     pub(crate) excluded_daemons: Vec<SocketAddr>,
     /// Whether the calls of the next run count as retries that were not paid for.
     pub(crate) has_unpaid_calls: bool,
+    /// Whether a retry was paid for out of the budget, and no copy has arrived at a target for it yet.
+    pub(crate) is_copy_paid: bool,
+    /// Whether a gate's refusal, or a panic of this daemon, rules out further copies.
+    pub(crate) is_final: bool,
     /// The reason given by the latest attempt that ended without a run.
     pub(crate) last_reason: Option<RefusalReason>,
     /// Whether an attempt was lost at a target that may have run the request.
@@ -46,11 +52,11 @@
         (self.canary_count > 0).then_some(self.canary_count)
     }
 
-    /// Records that a copy arrived at a target, or may have, unless that was recorded before.
-    pub(crate) fn record_arrival(&mut self, hop: &PendingHop<'_>) {
-        self.arrival_count += u32::from(!hop.is_counted);
-        self.exclude(hop);
-        self.failed_at_canary |= hop.choice.is_canary;
+    /// Records that a copy arrived at a target, or may have.
+    pub(crate) fn record_arrival(&mut self, choice: &TargetChoice) {
+        self.arrival_count += 1;
+        self.exclude(choice);
+        self.failed_at_canary |= choice.is_canary;
     }
 
     /// Records that a copy did not run; `gate_wait` is how long the gate would have made it wait.
@@ -60,13 +66,13 @@
         reason: RefusalReason,
         gate_wait: Duration,
     ) {
-        self.exclude(hop);
+        self.exclude(&hop.choice);
         self.not_run_count += 1;
         self.last_reason = Some(reason);
         if reason == RefusalReason::TargetRefused {
-            self.record_arrival(hop);
-        } else if hop.is_counted {
-            self.arrival_count -= 1;
+            self.record_arrival(&hop.choice);
+        } else {
+            self.is_copy_paid |= hop.is_paid;
         }
         match reason {
             RefusalReason::Busy => self.record_wait(gate_wait),
@@ -75,10 +81,10 @@
         }
     }
 
-    fn exclude(&mut self, hop: &PendingHop<'_>) {
-        let address = hop.choice.address;
-        if !self.excluded_daemons.contains(&address) {
-            self.excluded_daemons.push(address);
+    /// Excludes the daemon of a choice from the next ones.
+    pub(crate) fn exclude(&mut self, choice: &TargetChoice) {
+        if !self.excluded_daemons.contains(&choice.address) {
+            self.excluded_daemons.push(choice.address);
         }
     }
 
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -27,6 +27,7 @@
     pending_hops::{HopEvent, PendingHop, PendingHops},
     quota_admission::take_credit,
     reply::Reply,
+    request_scope::contain_request,
     run_outcome::RunOutcome,
     target_headers::says_it_leaves,
     units::micros,
@@ -39,6 +40,9 @@
 /// awaited.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 
+/// How long before the deadline a target's error response is passed on at the latest, so that the client still gets it.
+const ERROR_RESPONSE_MARGIN: Duration = Duration::from_millis(50);
+
 /// The share of the remaining time for which a request waits until any target is usable.
 const WAIT_FOR_TARGET_SHARE: f64 = 0.3;
 
@@ -188,7 +192,12 @@
     ) -> Result<Reply, Failure> {
         let mut hops = PendingHops::default();
         loop {
-            let sent = self.send_copy(app, attempts, &mut hops).await;
+            let sending = self.send_copy(app, attempts, &mut hops);
+            let sent = contain_request(self.forwarded.id.clone(), sending).await;
+            let sent = sent.unwrap_or_else(|| {
+                attempts.is_final = true;
+                Err(Failure::may_have_run(RefusalReason::HopLost))
+            });
             // The gates that are silent may still answer.
             if let Err(failure) = sent
                 && hops.is_empty()
@@ -233,7 +242,8 @@
         if choice.is_canary {
             self.record_canary_send(app, attempts);
         }
-        hops.send(app, choice, call, in_flight, seems_busy);
+        let is_paid = std::mem::take(&mut attempts.is_copy_paid);
+        hops.send(app, choice, call, in_flight, seems_busy, is_paid);
         Ok(())
     }
 
@@ -244,15 +254,21 @@
         attempts: &mut Attempts,
         hops: &mut PendingHops<'_>,
     ) -> Result<NextStep, Failure> {
-        match hops.next_event().await {
-            HopEvent::Replied(hop, reply) => {
+        // A target's error response is passed on in time if no other copy is answered until then.
+        let wait_deadline = if attempts.error_response.is_some() {
+            let before_deadline = self.deadline.checked_sub(ERROR_RESPONSE_MARGIN);
+            before_deadline.unwrap_or(self.deadline)
+        } else {
+            self.deadline + RESPONSE_GRACE
+        };
+        match timeout_at(wait_deadline.into(), hops.next_event()).await {
+            Err(_) => Err(Failure::may_have_run(RefusalReason::Deadline)),
+            Ok(HopEvent::Replied(hop, reply)) => {
                 self.record_reply(app, &hop.choice, &reply);
                 self.handle_reply(app, attempts, hops, &hop, reply)
             }
-            HopEvent::Silent(index) => {
-                let sends_copy = !hops.has_responsive()
-                    && self.begin_second_copy(app, attempts, hops.get_mut(index));
-                Ok(if sends_copy {
+            Ok(HopEvent::Silent(index)) => {
+                Ok(if self.begin_second_copy(app, attempts, hops, index) {
                     NextStep::SendCopy
                 } else {
                     NextStep::Wait
@@ -275,12 +291,12 @@
                 return Ok(NextStep::Answer(Reply::from(response)));
             }
             RunOutcome::Answered(response) => {
-                attempts.record_arrival(hop);
+                attempts.record_arrival(&hop.choice);
                 attempts.error_response = Some(Reply::from(response));
                 (RefusalReason::TargetFailed, false)
             }
             RunOutcome::Lost(reason) => {
-                attempts.record_arrival(hop);
+                attempts.record_arrival(&hop.choice);
                 attempts.may_have_run = true;
                 (reason, false)
             }
@@ -296,11 +312,13 @@
         if hops.has_responsive() {
             return Ok(NextStep::Wait);
         }
-        let checked = if hop.has_body_rest {
+        let checked = if hop.has_body_rest || attempts.is_final {
             Err(attempts.give_up(reason))
         } else if is_not_run {
-            self.check_not_run(app, attempts, reason)
-        } else if self.try_begin_retry(app, attempts) {
+            let checked = self.check_not_run(app, attempts, hops, reason);
+            attempts.is_final = checked.is_err();
+            checked
+        } else if self.try_begin_retry(app, attempts, hops) {
             Ok(())
         } else {
             Err(attempts.give_up(reason))
@@ -339,6 +357,7 @@
         &self,
         app: &Rc<App>,
         attempts: &mut Attempts,
+        hops: &PendingHops<'_>,
         reason: RefusalReason,
     ) -> Result<(), Failure> {
         match reason {
@@ -348,7 +367,7 @@
                 return Err(Failure::not_run(RefusalReason::Unauthorized));
             }
             RefusalReason::TargetRefused => {
-                if attempts.arrival_count >= self.route.max_attempts {
+                if attempts.arrival_count + hops.count() >= self.route.max_attempts {
                     return Err(attempts.give_up(RefusalReason::AttemptsUsedUp));
                 }
                 if !self.take_from_retry_budget(app, attempts) {
@@ -371,20 +390,25 @@
         })
     }
 
-    /// Begins another copy of a request whose hop is silent, if it would most likely run and is allowed; the silent one
-    /// counts as an arrival from then on.
+    /// Begins another copy of a request whose hop with this index is silent, if it would most likely run and is allowed.
     fn begin_second_copy(
         &self,
         app: &Rc<App>,
         attempts: &mut Attempts,
-        hop: &mut PendingHop<'_>,
+        hops: &PendingHops<'_>,
+        index: usize,
     ) -> bool {
-        if hop.has_body_rest || !self.has_other_target(app, attempts, hop) {
+        let hop = hops.get(index);
+        if hops.has_responsive()
+            || hop.has_body_rest
+            || attempts.is_final
+            || !self.has_other_target(app, attempts, hops, &hop.choice)
+        {
             return false;
         }
-        attempts.record_arrival(hop);
-        hop.is_counted = true;
-        self.try_begin_retry(app, attempts)
+        attempts.exclude(&hop.choice);
+        attempts.failed_at_canary |= hop.choice.is_canary;
+        self.try_begin_retry(app, attempts, hops)
     }
 
     /// Begins a retry of a request that may have run, if it is allowed: counts and logs it. Returns whether it is
@@ -392,18 +416,24 @@
     ///
     /// A run whose calls fail mostly is not repeated: it would work for nothing, and its calls would take room from
     /// those of other runs.
-    fn try_begin_retry(&self, app: &Rc<App>, attempts: &mut Attempts) -> bool {
-        let is_retried = self.may_retry(app, attempts.arrival_count)
-            && self.take_from_retry_budget(app, attempts);
+    fn try_begin_retry(
+        &self,
+        app: &Rc<App>,
+        attempts: &mut Attempts,
+        hops: &PendingHops<'_>,
+    ) -> bool {
+        let arrival_count = attempts.arrival_count + hops.count();
+        let is_retried =
+            self.may_retry(app, arrival_count) && self.take_from_retry_budget(app, attempts);
         if is_retried {
             app.metrics.retries.inc();
-            log::info!(event = "repeat", id = self.forwarded.id_text(), service = &*self.service, arrivals = attempts.arrival_count, canaries = attempts.logged_canary_count(); "");
+            log::info!(event = "repeat", id = self.forwarded.id_text(), service = &*self.service, arrivals = arrival_count, canaries = attempts.logged_canary_count(); "");
         }
         is_retried
     }
 
-    /// Returns whether the route and the remaining time allow a retry of a request that arrived at `arrival_count`
-    /// targets and may have run.
+    /// Returns whether the route and the remaining time allow a retry of a request whose copies may arrive at
+    /// `arrival_count` targets.
     fn may_retry(&self, app: &Rc<App>, arrival_count: u32) -> bool {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         self.route.retry_safety == RetrySafety::Idempotent
@@ -414,22 +444,28 @@
                 .with(|node, _| node.route_costs.calls_fail_mostly(self.route.key))
     }
 
-    /// Returns whether a request whose hop is silent would most likely run at another target: whether a retry is
-    /// allowed, the budget covers it, and a gate has room for it.
-    fn has_other_target(&self, app: &Rc<App>, attempts: &Attempts, hop: &PendingHop<'_>) -> bool {
-        let arrival_count = attempts.arrival_count + u32::from(!hop.is_counted);
-        if !self.may_retry(app, arrival_count) {
+    /// Returns whether a request whose hop to the present choice is silent would most likely run at another target:
+    /// whether a retry is allowed, the budget covers it, and a gate has room for it.
+    fn has_other_target(
+        &self,
+        app: &Rc<App>,
+        attempts: &Attempts,
+        hops: &PendingHops<'_>,
+        present: &TargetChoice,
+    ) -> bool {
+        if !self.may_retry(app, attempts.arrival_count + hops.count()) {
             return false;
         }
         let mut excluded_daemons = attempts.excluded_daemons.clone();
-        excluded_daemons.push(hop.choice.address);
+        excluded_daemons.push(present.address);
         let other = app.core.with(|node, cx| {
             let now = cx.now();
             let daemon_count = node.directory.alive_count(now);
             let costs = node.route_costs.of_retry(self.route.key, &self.service);
             let query = self.target_query(&excluded_daemons);
-            let is_covered = node.retry_budget.covers(now, &costs, daemon_count);
-            let avoids_canaries = attempts.failed_at_canary || hop.choice.is_canary;
+            let is_covered =
+                attempts.is_copy_paid || node.retry_budget.covers(now, &costs, daemon_count);
+            let avoids_canaries = attempts.failed_at_canary || present.is_canary;
             is_covered.then(|| node.choose_by_version(now, &query, avoids_canaries))?
         });
         other.is_some_and(|other| {
@@ -437,15 +473,20 @@
         })
     }
 
-    /// Takes a retry, and the calls that its run makes, out of the budget; returns whether the budget had them.
+    /// Takes a retry, and the calls that its run makes, out of the budget, unless that was done for a copy which then
+    /// did not run; returns whether the budget had them.
     fn take_from_retry_budget(&self, app: &Rc<App>, attempts: &mut Attempts) -> bool {
-        app.core.with(|node, cx| {
+        if attempts.is_copy_paid {
+            return true;
+        }
+        attempts.is_copy_paid = app.core.with(|node, cx| {
             let now = cx.now();
             let daemon_count = node.directory.alive_count(now);
             let costs = node.route_costs.of_retry(self.route.key, &self.service);
             attempts.has_unpaid_calls = node.route_costs.calls(self.route.key).is_none();
             node.retry_budget.try_spend(now, &costs, daemon_count)
-        })
+        });
+        attempts.is_copy_paid
     }
 
     /// Chooses a target; on the first attempt waits for a while if none is usable, as after a start.
--- a/crates/edge/src/pending_hops.rs
+++ b/crates/edge/src/pending_hops.rs
@@ -1,10 +1,11 @@
 use std::{cell::Cell, future::poll_fn, pin::Pin, rc::Rc, task::Poll};
 
+use medlarspool_hop::RefusalReason;
 use medlarspool_mesh::TargetChoice;
 
 use crate::{
     app::App, gate_call::GateCall, gate_reply::GateReply, hop::forward_to_gate,
-    in_flight_guard::InFlightGuard,
+    in_flight_guard::InFlightGuard, request_scope::contain_request, run_outcome::RunOutcome,
 };
 
 /// The copies of one request that were sent to gates and have no reply yet.
@@ -22,8 +23,8 @@
     pub(crate) choice: TargetChoice,
     /// Whether only this copy has the request's whole body, which can't be sent again.
     pub(crate) has_body_rest: bool,
-    /// Whether the copy counts as an arrival at a target already.
-    pub(crate) is_counted: bool,
+    /// Whether the copy was paid for out of the retry budget.
+    pub(crate) is_paid: bool,
     reply: Pin<Box<dyn Future<Output = GateReply> + 'a>>,
     /// Whether the gate would refuse the request by its latest load.
     pub(crate) seems_busy: bool,
@@ -55,6 +56,7 @@
         call: GateCall,
         in_flight: InFlightGuard<'a>,
         seems_busy: bool,
+        is_paid: bool,
     ) {
         let address = choice.address;
         let has_body_rest = call.forwarded.body_rest.borrow().is_some();
@@ -66,18 +68,28 @@
                 observed.is_silent.set(is_silent);
                 observed.is_unhandled.set(is_silent);
             };
-            forward_to_gate(app, address, call, &on_silence).await
+            let id = call.forwarded.id.clone();
+            let forwarding = forward_to_gate(app, address, call, &on_silence);
+            let reply = contain_request(id, forwarding).await;
+            reply.unwrap_or_else(|| {
+                GateReply::without_gate(RunOutcome::Lost(RefusalReason::HopLost))
+            })
         });
         self.hops.push(PendingHop {
             choice,
             has_body_rest,
-            is_counted: false,
+            is_paid,
             reply,
             seems_busy,
             silence,
         });
     }
 
+    /// Returns how many copies are pending.
+    pub(crate) fn count(&self) -> u32 {
+        u32::try_from(self.hops.len()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) const fn is_empty(&self) -> bool {
         self.hops.is_empty()
     }
@@ -87,8 +99,8 @@
         self.hops.iter().any(|hop| !hop.silence.is_silent.get())
     }
 
-    pub(crate) fn get_mut(&mut self, index: usize) -> &mut PendingHop<'a> {
-        &mut self.hops[index]
+    pub(crate) fn get(&self, index: usize) -> &PendingHop<'a> {
+        &self.hops[index]
     }
 
     /// Waits until a gate replies or has been silent for a while. There must be a pending hop.
