Take no answer without an id for that of a request on a used connection

Cause: a faulty target may write an earlier refusal once more on a kept connection. A copy with the id of the request before it was skipped, but one without an id became the answer to the present request. The gate reported "not run" for a request that its target ran, and the client got 503, or the request ran at a second target.

Change: on a connection that was used before, or after a response to another request, a response without an id ends the exchange as lost. Such a request may have run: an idempotent one is repeated, an at-most-once one gets 502.

Ruled out: skipping the response and waiting for another one. If it was a refusal of this request after all, none comes, and the request would hold its slot until the deadline. A target that never names ids isn't affected: each of its requests has a connection of its own, on which its refusals are believed.

--- a/crates/edge/src/byte_stream.rs
+++ b/crates/edge/src/byte_stream.rs
@@ -44,6 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct ByteStream {
     pub(crate) buffer: BytesMut,
+    /// Whether a request was sent on the connection before, a copy of whose response may still come.
+    pub(crate) has_earlier_request: bool,
     /// When the connection became idle, if it is in a pool.
     pub(crate) idle_since: Instant,
     last_read_was_full: bool,
@@ -58,6 +60,7 @@
         }
         Self {
             buffer: BytesMut::new(),
+            has_earlier_request: false,
             idle_since: Instant::now(),
             last_read_was_full: false,
             loss_detection: LossDetection::Off,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -30,7 +30,8 @@
 ///
 /// Returns the connection too if it can be reused: the request was sent completely, the response was read to
 /// its end, no bytes follow it, no response to another request came before it, and it has the expected id, if there is
-/// one. A second copy of the response, which may come when the connection is in use again, is recognised by this id.
+/// one. A second copy of the response, which may come when the connection is in use again, is recognised by this id. A
+/// copy without an id can't be told from the response, so neither is accepted on a connection that was used before.
 /// `silence` limits how long no bytes may come while the response's head is awaited; bytes of interim responses count.
 /// A response that is too long to be read whole is read ahead if there are `buffers` for it.
 pub(crate) async fn exchange(
@@ -39,6 +40,7 @@
     silence: Option<&SilenceLimit<'_>>,
     buffers: Option<&Rc<ResponseBuffers>>,
 ) -> Result<(Response, Option<ByteStream>), ExchangeError> {
+    let has_earlier_request = std::mem::replace(&mut stream.has_earlier_request, true);
     let first_bytes = request.first_bytes();
     if stream.write(&first_bytes).await.is_err() {
         return Err(ExchangeError::ConnectionLost);
@@ -63,6 +65,9 @@
             .expected_id
             .is_some_and(|expected| id.is_some_and(|id| id != expected));
         let lacks_id = request.expected_id.is_some() && id.is_none();
+        if lacks_id && (has_earlier_request || stray_count > 0) {
+            return Err(ExchangeError::Unidentified);
+        }
         let (mut response, reusable) = read_body(stream, head, framing, buffers).await?;
         let Some(reusable) = reusable else {
             return if is_stray {
--- a/crates/edge/src/exchange_error.rs
+++ b/crates/edge/src/exchange_error.rs
@@ -11,4 +11,6 @@
     RequestBodyAborted,
     /// the connection was silent for too long
     Silent,
+    /// the answer on a connection that was used before names no request
+    Unidentified,
 }
--- a/crates/edge/src/outgoing_request.rs
+++ b/crates/edge/src/outgoing_request.rs
@@ -20,7 +20,8 @@
     /// The rest of a long body.
     pub(crate) body_rest: Option<&'a mut BodySource>,
     pub(crate) request_target: &'a [u8],
-    /// The id that the response must have; a response without any id is accepted too.
+    /// The id that the response must have; a response without any id is accepted only on a connection that was not used
+    /// before.
     pub(crate) expected_id: Option<&'a [u8]>,
 }
 
