Send a long body on after a response that isn't the answer

Cause: while the rest of a long body is sent, the first byte of a response ended the sending, also if it belonged to an interim response or to the second copy of an earlier refusal. These were skipped, and then the answer was awaited to a request whose body was never sent to its end.

Change: after such a response the body is sent on, unless more bytes of a response have arrived.

Ruled out: a request that its target refuses before it was sent whole.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -46,9 +46,13 @@
         return Err(ExchangeError::ConnectionLost);
     }
     drop(first_bytes);
-    let sent_whole = send_body_rest(&mut stream, &mut request).await?;
+    let mut sent_whole = false;
     let (mut interim_count, mut stray_count) = (0, 0);
     loop {
+        // Neither an interim response nor one to another request ends the sending.
+        if !sent_whole && stream.buffer.is_empty() {
+            sent_whole = send_body_rest(&mut stream, &mut request).await?;
+        }
         let head = read_head(&mut stream, silence).await?;
         if head.status < 200 {
             interim_count += 1;
@@ -95,7 +99,8 @@
     }
 }
 
-/// Sends the rest of a long body; stops when a response begins. Returns whether all of it was sent.
+/// Sends the rest of a long body; stops when a response begins, which may be an interim one. Returns whether all of it
+/// was sent.
 async fn send_body_rest(
     stream: &mut ByteStream,
     request: &mut OutgoingRequest<'_>,
