Reject a chunk whose size has no digit

Cause: `httparse::parse_chunk_size` takes a line without a digit, empty or with an extension only, for a size of 0, the last chunk. A target that stopped in its answer and wrote an empty line where the next chunk was due got a 200 with a short body to the client, framed as whole, and its connection was used again.

Change: the decoder requires a digit first, in requests too.

--- a/crates/edge/src/body_decoder.rs
+++ b/crates/edge/src/body_decoder.rs
@@ -75,6 +75,12 @@
                         None => Decoded::NeedMore,
                     });
                 }
+                // `httparse` takes a size without a digit for that of the last chunk.
+                State::ChunkSize
+                    if buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) =>
+                {
+                    return Err(HttpError::Malformed);
+                }
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((line_length, size))) => {
                         buffer.advance(line_length);
