Reject a response's head with a second status line in it

Cause: bytes of an earlier refusal on a kept connection that stop in its reason phrase or in a header's value continue with the status line of the next answer. The parser took both for one head with the status, and `Not-Executed`, of the refusal and the id of the answer. The gate reported "not run" for a request that its target ran, or passed the answer on with the wrong status.

Change: a reason phrase or a header's value in which a status line begins makes a response invalid, so that the request counts as one that may have run.

Ruled out: a part that stops in the status code, in a header's name or behind a line. What follows can't continue it, and the request counted as lost before. After a part with the id of the earlier request the answer is taken for its body and skipped; the request ends with 504 at its deadline.

Measured: no fault in the 24 cases; repeated_refusals 8, broken_answers 4, whole_path 41, malformed_messages 10 pass.

--- a/crates/edge/src/message_head.rs
+++ b/crates/edge/src/message_head.rs
@@ -57,6 +57,15 @@
         let Some(head_length) = head_length(parsed.parse(buffer), buffer.len(), max_bytes)? else {
             return Ok(None);
         };
+        // A target broke off in an earlier head, and this response's head continues it.
+        let has_two_beginnings = contains_status_line(parsed.reason.unwrap_or_default().as_bytes())
+            || parsed
+                .headers
+                .iter()
+                .any(|field| contains_status_line(field.value));
+        if has_two_beginnings {
+            return Err(HttpError::Malformed);
+        }
         let is_http_11 = parsed.version == Some(1);
         let status = parsed.code.unwrap_or_default();
         let ranges = field_ranges(buffer, parsed.headers);
@@ -99,6 +108,15 @@
     is_http_11 || headers.has_token("connection", "keep-alive")
 }
 
+/// Returns whether the beginning of a status line, with its status, is somewhere in `text`.
+fn contains_status_line(text: &[u8]) -> bool {
+    const BEGINNING: &[u8] = b"HTTP/1.1 200";
+    text.windows(BEGINNING.len()).any(|part| {
+        let mut pairs = part.iter().zip(BEGINNING);
+        pairs.all(|(byte, model)| byte == model || byte.is_ascii_digit() && model.is_ascii_digit())
+    })
+}
+
 /// Returns the range of `part`, which must be a subslice of `whole`.
 fn range(whole: &[u8], part: &[u8]) -> Range {
     let start = part.as_ptr() as usize - whole.as_ptr() as usize;
