Send no request on a connection whose latest one had the same id

Cause: second copies of refusals and answers are recognised by their id, which clients choose. If the next request on the connection to the target had the same id as the one before it, a copy was taken for its own response.

Change: such a request gets a connection of its own.

Ruled out: remembering all ids of a connection. Two requests with one id on it, with others between them, can still be confused by a copy that comes as late. A refusal to which the target itself gives the id of a request that it runs can't be told from a true one.

Before: a_repeated_refusal_does_not_refuse_a_request_with_the_same_id (repeated_refusals.rs) printed "503 Service Unavailable" after one run, and a_second_copy_of_an_answer_goes_to_no_request_with_the_same_id (invalid_answers.rs) "left: /read/0, right: /read/1".

Measured: both pass.

--- a/crates/edge/src/byte_stream.rs
+++ b/crates/edge/src/byte_stream.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncRead, AsyncWriteExt, ReadBuf},
@@ -49,6 +49,8 @@
     /// When the connection became idle, if it is in a pool.
     pub(crate) idle_since: Instant,
     last_read_was_full: bool,
+    /// The id of the latest request that was sent on the connection, if it had one and was answered.
+    pub(crate) latest_id: Option<Bytes>,
     loss_detection: LossDetection,
     stream: TcpStream,
 }
@@ -63,6 +65,7 @@
             has_earlier_request: false,
             idle_since: Instant::now(),
             last_read_was_full: false,
+            latest_id: None,
             loss_detection: LossDetection::Off,
             stream,
         }
--- a/crates/edge/src/target_run.rs
+++ b/crates/edge/src/target_run.rs
@@ -3,6 +3,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use medlarspool_adapter::headers;
 use medlarspool_hop::RefusalReason;
 use tokio::time::timeout_at;
@@ -23,14 +24,11 @@
 pub(crate) async fn run_at_target(app: &Rc<App>, call: &GateCall) -> RunOutcome {
     let address = app.settings.target_address;
     let forwarded = &call.forwarded;
-    // A response can't be told from a second copy of an earlier one unless the request has an id. A request without
-    // one therefore gets a connection of its own.
-    let has_id = forwarded.id.is_some();
-    let pooled = if has_id {
-        app.target_pool.take(address)
-    } else {
-        None
-    };
+    // A response can't be told from a second copy of an earlier one unless the request has an id, and another one than
+    // the request before it. Clients choose the ids. Other requests therefore get a connection of their own.
+    let id = forwarded.id.as_ref();
+    let pooled = id.and_then(|_| app.target_pool.take(address));
+    let pooled = pooled.filter(|stream| stream.latest_id.as_ref() != id);
     let stream = match pooled {
         Some(stream) => stream,
         None => match connect(app, call).await {
@@ -75,7 +73,9 @@
         Err(_) => RunOutcome::Lost(RefusalReason::Deadline),
         Ok(Ok((mut response, reusable))) => {
             response.set_deadline(call.deadline + RESPONSE_GRACE);
-            if let Some(reusable) = reusable.filter(|_| has_id) {
+            if let (Some(mut reusable), Some(id)) = (reusable, id) {
+                // A slice would keep the memory of the whole request.
+                reusable.latest_id = Some(Bytes::copy_from_slice(id));
                 app.target_pool.put(address, reusable);
             }
             // A target answers 421 (Misdirected Request) to a request that expects another target.
