--- a/crates/edge/src/byte_stream.rs
+++ b/crates/edge/src/byte_stream.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncRead, AsyncWriteExt, ReadBuf},
@@ -44,9 +44,13 @@
 #[derive(Debug)]
 pub(crate) struct ByteStream {
     pub(crate) buffer: BytesMut,
+    /// Whether a request was sent on the connection before, a copy of whose response may still come.
+    pub(crate) has_earlier_request: bool,
     /// When the connection became idle, if it is in a pool.
     pub(crate) idle_since: Instant,
     last_read_was_full: bool,
+    /// The id of the latest request that was sent on the connection, if it had one and was answered.
+    pub(crate) latest_id: Option<Bytes>,
     loss_detection: LossDetection,
     stream: TcpStream,
 }
@@ -58,8 +62,10 @@
         }
         Self {
             buffer: BytesMut::new(),
+            has_earlier_request: false,
             idle_since: Instant::now(),
             last_read_was_full: false,
+            latest_id: None,
             loss_detection: LossDetection::Off,
             stream,
         }
--- a/crates/edge/src/exchange_error.rs
+++ b/crates/edge/src/exchange_error.rs
@@ -9,4 +9,6 @@
     ConnectionLost,
     /// the client's body broke off
     RequestBodyAborted,
+    /// the answer on a connection that was used before names no request
+    Unidentified,
 }
