Don't begin a request whose connection has ended

Cause: `ServerConnection::serve` parsed a request and polled its handler, which sends it to the target, before it read on and saw the end of the stream. A request that arrived together with its sender's close was run for nobody: an idempotent one was begun and cancelled, an at-most-once one ran to its end.

Ruled out: a further read of each request. `tokio` keeps the readiness that came with the request's bytes, in which the end of the stream stays set, so one more poll takes no system call unless something has arrived. Reading ahead of all ready replies was ruled out too: a reply that is ready would be lost to a sender that has shut down its sending side.

Change: before the handlers of new requests are polled, the connection is polled once more. Servers of clients and of peers begin nothing for senders that have left.

--- a/crates/edge/src/byte_stream.rs
+++ b/crates/edge/src/byte_stream.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncRead, AsyncWriteExt, ReadBuf},
@@ -46,6 +47,8 @@
     pub(crate) buffer: BytesMut,
     /// When the connection became idle, if it is in a pool.
     pub(crate) idle_since: Instant,
+    /// Whether the end of the stream was looked for since the connection was opened.
+    end_was_checked: bool,
     last_read_was_full: bool,
     loss_detection: LossDetection,
     stream: TcpStream,
@@ -58,6 +61,7 @@
         }
         Self {
             buffer: BytesMut::new(),
+            end_was_checked: false,
             idle_since: Instant::now(),
             last_read_was_full: false,
             loss_detection: LossDetection::Off,
@@ -119,6 +123,23 @@
         self.fill_at_most(max_bytes).await
     }
 
+    /// Reads what has arrived as [`ByteStream::fill`] does, or returns `None` if nothing has.
+    ///
+    /// That bytes or the end have arrived is known from the event that announced them, without a system call. The first
+    /// read of an accepted connection may come before any event.
+    pub(crate) fn try_fill(&mut self) -> Option<io::Result<usize>> {
+        let end_was_checked = std::mem::replace(&mut self.end_was_checked, true);
+        let filled = self.fill().now_or_never();
+        if filled.is_some() || end_was_checked {
+            return filled;
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(1..) => None,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+            ended => Some(ended),
+        }
+    }
+
     /// Reads at most `max_bytes` into the buffer, which takes no more memory than what was read; returns 0 at the end
     /// of the stream. Cancel safe.
     pub(crate) async fn fill_at_most(&mut self, max_bytes: usize) -> io::Result<usize> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -101,6 +101,7 @@
 mod run_table;
 mod running_work;
 mod server_connection;
+mod server_kind;
 mod server_options;
 mod silence_limit;
 mod slot_guard;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     app::App, byte_stream::ByteStream, edge_error::EdgeError, server_connection::Handler,
-    server_connection::ServerConnection, server_options::ServerOptions, stop_phase::StopPhase,
+    server_connection::ServerConnection, server_kind::ServerKind, server_options::ServerOptions,
+    stop_phase::StopPhase,
 };
 
 /// How many connections may wait to be accepted: many clients connect at once.
@@ -31,15 +32,15 @@
     open().map_err(|error| EdgeError::Listen { address, error })
 }
 
-/// Accepts connections and serves each in a task of its own. `interim_after` is set for peers' connections
-/// only. In a planned stop, these are closed after a reply from [`StopPhase::Leaving`] on, and others from
-/// [`StopPhase::Stopping`] on.
+/// Accepts connections and serves each in a task of its own. In a planned stop, those of peers are closed after a reply
+/// from [`StopPhase::Leaving`] on, and others from [`StopPhase::Stopping`] on.
 pub(crate) async fn accept(
     app: Rc<App>,
     listener: Rc<TcpListener>,
     handler: Handler,
-    interim_after: Option<Duration>,
+    kind: ServerKind,
 ) {
+    let is_peer = kind == ServerKind::Peers;
     loop {
         let (mut stream, client_ip) = match listener.accept().await {
             Ok((stream, client_address)) => (ByteStream::new(stream), client_address.ip()),
@@ -49,17 +50,17 @@
                 continue;
             }
         };
-        if interim_after.is_some() {
+        if is_peer {
             stream.enable_loss_detection();
         }
         let limits_app = app.clone();
         let options = Box::new(move || ServerOptions {
-            interim_after,
+            interim_after: kind.interim_after(),
             limits: limits_app.limits.get(),
+            serves_absent_senders: kind.serves_absent_senders(),
         });
         let connection = ServerConnection::new(stream, client_ip, handler.clone(), options);
         let phase_app = app.clone();
-        let is_peer = interim_after.is_some();
         let is_stopping = move || {
             if is_peer {
                 phase_app.stop_phase.get() >= StopPhase::Leaving
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -26,7 +26,6 @@
     core::Core,
     entry::serve_client,
     gate_server::serve_peer,
-    hop::INTERIM_AFTER,
     lease_rows::{keep_leases, release_leases},
     line_log::{self, LineLog},
     listen::{accept, listen},
@@ -40,6 +39,7 @@
     response_buffers::ResponseBuffers,
     run_table::RunTable,
     server_connection::Handler,
+    server_kind::ServerKind,
     status_rows::{follow_statuses, write_statuses},
     stop_phase::StopPhase,
     store_client::StoreClient,
@@ -261,30 +261,37 @@
     }
     let settings = &app.settings;
     let servers: [(_, Handler, _); 5] = [
-        (settings.readiness_address, handler!(serve_readiness), None),
-        (settings.control_address, handler!(serve_target), None),
+        (
+            settings.readiness_address,
+            handler!(serve_readiness),
+            ServerKind::Local,
+        ),
+        (
+            settings.control_address,
+            handler!(serve_target),
+            ServerKind::Local,
+        ),
         (
             settings.peer_address,
             handler!(serve_peer),
-            Some(INTERIM_AFTER),
+            ServerKind::Peers,
         ),
         (
             settings.administration_address,
             handler!(serve_operator),
-            None,
+            ServerKind::Local,
+        ),
+        (
+            settings.outbound_address,
+            handler!(serve_client),
+            ServerKind::Clients,
         ),
-        (settings.outbound_address, handler!(serve_client), None),
     ];
-    for (address, handler, interim_after) in servers {
+    for (address, handler, kind) in servers {
         let listener = Rc::new(listen(address)?);
         let app = app.clone();
         spawn_background("accept", move || {
-            accept(
-                app.clone(),
-                listener.clone(),
-                handler.clone(),
-                interim_after,
-            )
+            accept(app.clone(), listener.clone(), handler.clone(), kind)
         });
     }
     Ok(())
--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -108,15 +108,27 @@
 
     /// Serves until the client closes the connection or a reply ends it.
     pub(crate) async fn serve(mut self, is_stopping: impl Fn() -> bool) {
+        let mut begun_count = 0;
         loop {
             self.parse_requests();
             if self.pending_replies.is_empty() && matches!(self.reading, Reading::Nothing) {
                 return;
             }
-            let can_read = !matches!(self.reading, Reading::Nothing)
-                && self.pending_replies.len() < MAX_PIPELINED_REQUESTS;
+            let can_read = self.can_read();
             let deadline = self.read_deadline();
-            let interim_after = (self.options)().interim_after;
+            let options = (self.options)();
+            let interim_after = options.interim_after;
+            if self.reply_count > begun_count {
+                if !options.serves_absent_senders {
+                    // The end of the stream may have arrived with the request.
+                    match self.try_read() {
+                        Some(Ok(0) | Err(_)) => return,
+                        Some(Ok(_)) if can_read => continue,
+                        Some(Ok(_)) | None => {}
+                    }
+                }
+                begun_count = self.reply_count;
+            }
             tokio::select! {
                 biased;
                 Some((mut reply, keeps_alive)) = self.pending_replies.next(), if !self.pending_replies.is_empty() => {
@@ -138,7 +150,7 @@
                     self.last_used_at = Instant::now();
                 }
                 () = wait_for_capacity(&self.reading), if is_full(&self.reading) => {}
-                read = self.stream.fill(), if can_read && !is_full(&self.reading) => match read {
+                read = self.stream.fill(), if can_read => match read {
                     Ok(0) | Err(_) => return,
                     Ok(_) => {}
                 },
@@ -156,6 +168,20 @@
         }
     }
 
+    /// Returns whether bytes that are read now can be parsed soon.
+    fn can_read(&self) -> bool {
+        !matches!(self.reading, Reading::Nothing)
+            && self.pending_replies.len() < MAX_PIPELINED_REQUESTS
+            && !is_full(&self.reading)
+    }
+
+    /// Reads what has arrived, if the buffer may take it; returns `None` if nothing has.
+    fn try_read(&mut self) -> Option<std::io::Result<usize>> {
+        // Behind the last request of a connection there are no bytes to parse, but its end is to be noticed.
+        let may_read = self.can_read() || matches!(self.reading, Reading::Nothing);
+        may_read.then(|| self.stream.try_fill())?
+    }
+
     /// Parses the buffer as far as possible and handles the requests in it.
     fn parse_requests(&mut self) {
         while self.pending_replies.len() < MAX_PIPELINED_REQUESTS {
--- a/crates/edge/src/server_options.rs
+++ b/crates/edge/src/server_options.rs
@@ -8,4 +8,6 @@
     /// After how long without a response an interim response is sent; `None` for never.
     pub(crate) interim_after: Option<Duration>,
     pub(crate) limits: MessageLimits,
+    /// Whether requests are begun whose sender has closed the connection already.
+    pub(crate) serves_absent_senders: bool,
 }
