Count a hop's time on the way as part of its deadline

Cause: the gate computed the deadline of a hop as its arrival plus `Deadline-Ms`, which counts from the sending. What the hop had spent in the queues of links was given to it again, so that it could be sent to the target, or wait for it, after its client had left.

The monotonic clock of `Instant` stands still while a machine is suspended, so stamps are taken from the clock since boot, which the quota leases use already.

Change: hops have the header `Medlarspool-Sent`, reports the fields 44 and 45: the sender's clock since boot and a number that it draws at its start. `TransitTimes` keeps the least difference between arrival and stamp of the last 4 to 8 s for each sender; a hop's deadline is earlier by as much as its own difference exceeds that, and never later than before. The first message of a sender, earlier releases and a queue that lasts longer than the window leave the deadline as it was. A gate refuses a request that has no time left as not run.

--- a/crates/edge/src/gate_server.rs
+++ b/crates/edge/src/gate_server.rs
@@ -6,11 +6,12 @@
 
 use medlarspool_adapter::headers;
 use medlarspool_hop::{HopAccount, RefusalReason, hop_header, peer_path};
-use medlarspool_mesh::TargetLimit;
+use medlarspool_mesh::{SendStamp, TargetLimit};
 use medlarspool_types::Verdict;
 
 use crate::{
     app::App,
+    boot_clock::boot_time,
     forwarded_request::ForwardedRequest,
     gate::{admit_and_run, attach},
     gate_call::GateCall,
@@ -67,7 +68,9 @@
     };
     let route = HopRoute::decode(text(hop_header::ROUTE)?)?;
     let target_id: Rc<str> = text(hop_header::TARGET)?.into();
-    let deadline = arrived_at + millis(headers::DEADLINE_MS)?;
+    let remaining = millis(headers::DEADLINE_MS)?;
+    let stamp = text(hop_header::SENT).and_then(SendStamp::parse);
+    let deadline = deadline(app, arrived_at, remaining, stamp);
     let known_limit = text(hop_header::LIMIT).and_then(|number| number.parse().ok());
     let known_limit = known_limit.map_or(TargetLimit::Unknown, TargetLimit::from_number);
     let max_wait = millis(hop_header::MAX_WAIT_MS)?;
@@ -95,7 +98,7 @@
     };
     Some(GateCall {
         account,
-        deadline: deadline.max(Instant::now()),
+        deadline,
         forwarded: Rc::new(forwarded),
         has_unpaid_calls,
         known_limit,
@@ -105,6 +108,23 @@
     })
 }
 
+/// Returns the deadline of a call that had `remaining` time when it was sent. The time that it was delayed on its way
+/// is part of that, as far as the stamp proves it.
+fn deadline(
+    app: &Rc<App>,
+    arrived_at: Instant,
+    remaining: Duration,
+    stamp: Option<SendStamp>,
+) -> Instant {
+    let now = Instant::now();
+    let delay = stamp.map(|stamp| {
+        app.core
+            .with(|node, _| node.transit_times.record(boot_time(), stamp))
+    });
+    let left = remaining.saturating_sub(delay.unwrap_or_default());
+    (now + left).min(arrived_at + remaining).max(now)
+}
+
 /// Writes a gate's reply into the headers of a response.
 fn encode_reply(reply: GateReply) -> Reply {
     let (encoded, verdict) = match reply.outcome {
--- a/crates/edge/src/hop.rs
+++ b/crates/edge/src/hop.rs
@@ -172,6 +172,8 @@
         push(hop_header::LIMIT, call.known_limit.to_number().to_string());
     }
     push(hop_header::ROUTE, call.route.encode());
+    let stamp = app.core.with(|node, _| node.send_stamp());
+    push(hop_header::SENT, stamp.to_string());
     push(hop_header::TARGET, call.target_id.to_string());
     if call.has_unpaid_calls {
         push(hop_header::RETRY, "1".into());
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use medlarspool_mesh::{
     AccountRefusals, CalledServices, CanaryChoice, CrashList, Directory, GateQueue, MeshConfig,
-    OwnTarget, RetryBudget, Route, RouteCosts, RouteKey, RunTimes, SiteSettings, TargetChoice,
-    TargetNotice, TargetQuery, WeightedRoundRobin,
+    OwnTarget, RetryBudget, Route, RouteCosts, RouteKey, RunTimes, SendStamp, SiteSettings,
+    TargetChoice, TargetNotice, TargetQuery, TransitTimes, WeightedRoundRobin,
 };
 use stakker::CX;
 
 use crate::{
-    app::App, confirmation::Confirmation, quotas::Quotas, rollout_tracker::RolloutTracker,
-    running_work::RunningWork, waiter::Waiter,
+    app::App, boot_clock::boot_time, confirmation::Confirmation, quotas::Quotas,
+    rollout_tracker::RolloutTracker, running_work::RunningWork, waiter::Waiter,
 };
 
 /// How long a relay goes on as one while the store doesn't answer it. Followers would otherwise all call the store
@@ -36,6 +36,8 @@
     pub(crate) retry_budget: RetryBudget,
     /// The services that the runs at the own target call.
     pub(crate) called_services: CalledServices,
+    /// The number of this daemon's clock in stamps of what it sends.
+    pub(crate) clock: u64,
     pub(crate) config: Option<Rc<MeshConfig>>,
     /// When the configuration was put in force.
     pub(crate) config_at: Option<Instant>,
@@ -88,6 +90,8 @@
     store_was_reached: bool,
     /// What the own target's latest response said of the target.
     pub(crate) target_notice: TargetNotice,
+    /// How long messages of other daemons were on their way.
+    pub(crate) transit_times: TransitTimes,
     /// When the next tick is due, for measuring how late it comes; none before the first one.
     pub(crate) tick_due_at: Option<Instant>,
     /// The number of the latest tick, by which the batch of peers that gets a report is selected.
@@ -109,6 +113,7 @@
                 settings.budget_window,
             ),
             called_services: CalledServices::default(),
+            clock: fastrand::u64(1..),
             config: None,
             config_at: None,
             config_compressed: Bytes::new(),
@@ -140,6 +145,7 @@
             store_lost_at: None,
             store_was_reached: false,
             target_notice: TargetNotice::default(),
+            transit_times: TransitTimes::default(),
             tick_due_at: None,
             tick_number: 0,
             report_scheduled: false,
@@ -147,6 +153,14 @@
         }
     }
 
+    /// Returns the stamp of a message that is sent now.
+    pub(crate) fn send_stamp(&self) -> SendStamp {
+        SendStamp {
+            clock: self.clock,
+            sent_at: boot_time(),
+        }
+    }
+
     /// Initialises the actor; `stakker` calls it.
     #[allow(clippy::unnecessary_wraps)] // `stakker` requires this signature
     pub(crate) fn init(_: CX![], node: Self) -> Option<Self> {
--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -91,6 +91,9 @@
             reason,
             expected_wait,
         };
+        if call.deadline <= now {
+            return refused(RefusalReason::Deadline, Duration::ZERO);
+        }
         let Some(target) = self.own_target.usable() else {
             return refused(RefusalReason::Moved, Duration::ZERO);
         };
--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     app::App,
+    boot_clock::boot_time,
     fault_injection::{is_injected, reach},
     fault_point::FaultPoint,
     full_report_kind::FullReportKind,
@@ -76,6 +77,7 @@
         self.tick_number += 1;
         let max_silence = REMOVE_SILENT_AFTER.max(self.directory.silence_timeout(false));
         self.directory.remove_silent(now, max_silence);
+        self.transit_times.sweep(boot_time());
         self.tick_quotas(cx);
         self.send_reports(now, false);
         self.log_election(now);
@@ -190,6 +192,7 @@
         let oldest_crash = now.checked_sub(CRASH_REPORT_PERIOD);
         let mut report = Report {
             quota_partitions: self.held_partitions(),
+            sent: Some(self.send_stamp()),
             store_era: self.store_era(),
             crashes: self.crashes.latest(MAX_CRASHES_PER_REPORT, oldest_crash),
             ..Report::of(record)
@@ -235,6 +238,7 @@
             quota_partitions: self.held_partitions(),
             receiver_target: peer.and_then(|peer| peer.latest_target().cloned()),
             receiver_incarnation: peer.map_or(0, |peer| peer.record().incarnation),
+            sent: Some(self.send_stamp()),
             store_era: self.store_era(),
             ..Report::of(self.next_record(now))
         };
@@ -276,6 +280,9 @@
         if sender_address == self.settings.peer_address {
             return;
         }
+        if let Some(stamp) = report.sent {
+            self.transit_times.record(boot_time(), stamp);
+        }
         self.learn_reported_rollouts(cx, &report);
         let reported_version = report.sender.config_version;
         let is_behind = self.config_version() < reported_version;
--- a/crates/hop/src/hop_header.rs
+++ b/crates/hop/src/hop_header.rs
@@ -27,6 +27,8 @@
 pub const RETRY: &str = "Medlarspool-Repeat";
 /// The run time at the target, in microseconds; absent unless the target responded with a status below 500.
 pub const RUN_US: &str = "Medlarspool-Run-Us";
+/// When the request was sent, as the text of a `SendStamp`; absent in requests of earlier releases.
+pub const SENT: &str = "Medlarspool-Sent";
 /// The id of the target that is to run the request.
 pub const TARGET: &str = "Medlarspool-Target";
 /// Whether the request ran, may have run, or didn't run.
--- a/crates/hop/src/report.rs
+++ b/crates/hop/src/report.rs
@@ -1,7 +1,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use medlarspool_mesh::{
-    AnnouncedState, PeerRecord, RolloutStatus, StoreEra, TargetEvidence, TargetLoad, TargetRecord,
+    AnnouncedState, PeerRecord, RolloutStatus, SendStamp, StoreEra, TargetEvidence, TargetLoad,
+    TargetRecord,
 };
 use prost::Message;
 
@@ -41,6 +42,8 @@
     pub receiver_target: Option<TargetRecord>,
     /// The latest incarnation of the receiver that the sender knows; 0 if it knows none.
     pub receiver_incarnation: u64,
+    /// When the report was sent; none in rows of the store, and in reports of earlier releases.
+    pub sent: Option<SendStamp>,
     /// The era of the platform's store, if the sender knows it.
     pub store_era: Option<StoreEra>,
 }
@@ -64,6 +67,7 @@
             sender,
             receiver_target: None,
             receiver_incarnation: 0,
+            sent: None,
             store_era: None,
         }
     }
@@ -122,6 +126,8 @@
             quota_grant: None,
             quota_partitions: self.quota_partitions,
             quota_question: None,
+            sent_at_us: self.sent.map_or(0, |stamp| stamp.sent_at_us()),
+            sent_by_clock: self.sent.map_or(0, |stamp| stamp.clock),
         }
     }
 
@@ -178,6 +184,7 @@
                 .map(decode_target)
                 .transpose()?,
             receiver_incarnation: message.receiver_incarnation,
+            sent: SendStamp::from_numbers(message.sent_by_clock, message.sent_at_us),
             store_era: message.store_era_and_one.checked_sub(1).map(StoreEra),
         })
     }
--- a/crates/hop/src/report_message.rs
+++ b/crates/hop/src/report_message.rs
@@ -50,6 +50,11 @@
     // Tags 40 to 42 are unused: they held the votes of earlier releases, which grant credits by them.
     #[prost(uint32, tag = "43")]
     pub(crate) quota_partitions: u32,
+    // 0 if the sender doesn't tell when it sent the report.
+    #[prost(fixed64, tag = "44")]
+    pub(crate) sent_by_clock: u64,
+    #[prost(uint64, tag = "45")]
+    pub(crate) sent_at_us: u64,
     // A datagram with one of the next four fields is not a report and has no other field.
     #[prost(message, optional, tag = "30")]
     pub(crate) confirmation_question: Option<ConfirmationQuestionMessage>,
