Cancel the last request of a connection when its client leaves

Cause: behind a request with `Connection: close` nothing was read, so that the end of the stream wasn't seen, and the target worked on for a client that had left.

Ruled out: a limit on what is read and dropped meanwhile; it takes no memory, and the connection is closed after the reply.

Change: connections of clients and peers are read on while the last reply is awaited. What comes is dropped, and the end cancels the request as behind any other one.

--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -118,6 +118,9 @@
             let deadline = self.read_deadline();
             let options = (self.options)();
             let interim_after = options.interim_after;
+            // What follows the last request is dropped, but the end of the stream cancels that request, too.
+            let watches_end =
+                matches!(self.reading, Reading::Nothing) && !options.serves_absent_senders;
             if self.reply_count > begun_count {
                 if !options.serves_absent_senders {
                     // The end of the stream may have arrived with the request.
@@ -150,8 +153,9 @@
                     self.last_used_at = Instant::now();
                 }
                 () = wait_for_capacity(&self.reading), if is_full(&self.reading) => {}
-                read = self.stream.fill(), if can_read => match read {
+                read = self.stream.fill(), if can_read || watches_end => match read {
                     Ok(0) | Err(_) => return,
+                    Ok(_) if watches_end => self.stream.buffer.clear(),
                     Ok(_) => {}
                 },
                 () = sleep_until(deadline.into()) => {
