Refuse at the gate what a planned stop would cut off

Cause: a gate asked only whether its target was usable. Whatever another daemon sent it late in a planned stop was started and cut off at the end, after 5.2 s of 6; the entry of an at-most-once request then answered 502. Other daemons know from a report that a gate no longer serves, which may be lost.

Ruled out: a fixed moment from which a gate takes nothing, which refuses short runs early; the deadline alone, since most runs end long before it.

Change: `StopTimes` tells until when a request may start: until its deadline if that is before the end; else as long as twice the mean or assumed run time fits, in half of the time and 3 s at most; later only as long as eight times the measured mean fits. `Node::admit` refuses others as not run.

Result: before, late_in_a_stop printed "cut off: long 4.50s after SIGTERM" (a hop with a run of 1.5 s). After, each hop at 0, 1.5, 2.9, 4.5 and 5.0 s is answered or refused within 0.4 s as not run, and runs of 30 ms are still taken at 4.5 s.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -6,7 +6,7 @@
 use crate::{
     connection_pool::ConnectionPool, core::Core, metrics::Metrics,
     response_buffers::ResponseBuffers, run_table::RunTable, stop_phase::StopPhase,
-    store_client::StoreClient,
+    stop_times::StopTimes, store_client::StoreClient,
 };
 
 /// The state that all tasks of the daemon share.
@@ -49,6 +49,8 @@
     /// Notified when this daemon, as the decider on rollouts, has to write a status row.
     pub(crate) status_write_due: Notify,
     pub(crate) stop_phase: Cell<StopPhase>,
+    /// The times of the planned stop, once it has begun.
+    pub(crate) stop_times: Cell<Option<StopTimes>>,
     pub(crate) store: StoreClient,
     /// Notified when this daemon has to read the configuration from the store itself, since no relay provides it.
     pub(crate) store_needed: Notify,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -108,6 +108,7 @@
 mod status_rows;
 mod status_write;
 mod stop_phase;
+mod stop_times;
 mod store_answer;
 mod store_client;
 mod store_era_watch;
--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     admission::Admission, app::App, fault_injection::reach, fault_point::FaultPoint,
-    gate_call::GateCall, node::Node, node_timer::NodeTimer, running_work::RunningWork,
-    slot_guard::SlotGuard, waiter::Waiter,
+    gate_call::GateCall, hop_route::HopRoute, node::Node, node_timer::NodeTimer,
+    running_work::RunningWork, slot_guard::SlotGuard, waiter::Waiter,
 };
 
 /// The weight of a new run in the moving average of failed runs, which follows a change within about ten
@@ -109,6 +109,9 @@
         let expected_run_time = self
             .run_times
             .expected(call.route.key, call.route.assumed_run_time);
+        if !self.may_start(app, now, call.deadline, &call.route) {
+            return refused(RefusalReason::Stopping, Duration::ZERO);
+        }
         let remaining = call.deadline.saturating_duration_since(now);
         let goal = call.route.goal;
         let latest_start = now + goal.max_wait(remaining, expected_run_time);
@@ -143,6 +146,14 @@
         }
     }
 
+    /// Returns whether a request that starts now is answered before a planned stop ends, if there is one.
+    fn may_start(&self, app: &App, now: Instant, deadline: Instant, route: &HopRoute) -> bool {
+        app.stop_times.get().is_none_or(|times| {
+            let mean = self.run_times.mean(route.key);
+            now <= times.latest_start(deadline, mean, route.assumed_run_time)
+        })
+    }
+
     /// Refuses the queued requests that won't start in time any more.
     fn refuse_hopeless(&mut self, now: Instant) {
         for ticket in self.queue.remove_hopeless(now) {
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -42,6 +42,7 @@
     server_connection::Handler,
     status_rows::{follow_statuses, write_statuses},
     stop_phase::StopPhase,
+    stop_times::StopTimes,
     store_client::StoreClient,
 };
 
@@ -69,9 +70,6 @@
 /// Requests that start at the end of it have the other half to finish.
 const ACCEPTING_SHARE: f64 = 0.5;
 
-/// The part of the time for a planned stop that is reserved for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(800);
-
 /// The interval at which a planned stop checks whether all work is done.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -229,6 +227,7 @@
         settings: settings.clone(),
         status_write_due: Notify::new(),
         stop_phase: Cell::new(StopPhase::Serving),
+        stop_times: Cell::new(None),
         store: StoreClient::new(settings.store_address),
         store_needed: Notify::new(),
         target_pool: ConnectionPool::new(MAX_TARGET_IDLE_TIME, MAX_IDLE_TO_TARGET),
@@ -311,6 +310,9 @@
 async fn stop(app: &Rc<App>) {
     let started_at = Instant::now();
     log::info!(event = "stop", in_flight = app.in_flight.get(); "");
+    let grace = app.core.with(|node, _| node.settings.grace);
+    let times = StopTimes::new(started_at, grace);
+    app.stop_times.set(Some(times));
     app.stop_phase.set(StopPhase::Stopping);
     sleep(GATE_LINGER).await;
     app.stop_phase.set(StopPhase::Leaving);
@@ -320,8 +322,7 @@
         node.own_target.usable().is_none()
     });
     release_leases(app).await;
-    let grace = app.core.with(|node, _| node.settings.grace);
-    let max_stop_time = grace.saturating_sub(STOP_MARGIN);
+    let max_stop_time = times.max_time;
     sleep((started_at + STOP_LINGER).saturating_duration_since(Instant::now())).await;
     if has_no_target {
         // A row that remains is harmless, since other daemons skip a silent daemon.
