Refuse what waits at the gate too late in a planned stop

Cause: a request that was queued when a planned stop began stayed in the queue, to be started too late or to be dropped with the process. Its entry got no answer and could not tell that it had not run.

Result: before, late_in_a_stop printed "no answer to wait-0, which waits". After, the queued runs of 1.5 s are refused as not run while six runs of 5.05 s end, and queued runs of 30 ms are answered or refused.

--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -131,6 +131,8 @@
             GateDecision::Wait(ticket) => {
                 let (slot_sender, slot_receiver) = oneshot::channel();
                 let waiter = Waiter {
+                    deadline: call.deadline,
+                    route: call.route,
                     slot_sender,
                     work: RunningWork::of(call),
                 };
@@ -154,6 +156,21 @@
         })
     }
 
+    /// Refuses the queued requests that wouldn't be answered any more before a planned stop ends.
+    pub(crate) fn refuse_late(&mut self, app: &App) {
+        let now = Instant::now();
+        let is_late = |waiter: &Waiter| !self.may_start(app, now, waiter.deadline, &waiter.route);
+        let late = self.waiters.iter().filter(|(_, waiter)| is_late(waiter));
+        let late: Vec<u64> = late.map(|(ticket, _)| *ticket).collect();
+        for ticket in late {
+            self.queue.cancel(ticket);
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                // An error means that the request was cancelled meanwhile.
+                let _ = waiter.slot_sender.send(Err(RefusalReason::Stopping));
+            }
+        }
+    }
+
     /// Refuses the queued requests that won't start in time any more.
     fn refuse_hopeless(&mut self, now: Instant) {
         for ticket in self.queue.remove_hopeless(now) {
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -306,6 +306,14 @@
     }
 }
 
+/// Refuses the requests that wait at the gate as soon as they would start too late in a planned stop.
+async fn refuse_late(app: Rc<App>) {
+    loop {
+        app.core.with(|node, _| node.refuse_late(&app));
+        sleep(STOP_CHECK_INTERVAL).await;
+    }
+}
+
 /// Performs a planned stop: waits for the requests in flight, as far as the time for the stop allows.
 async fn stop(app: &Rc<App>) {
     let started_at = Instant::now();
@@ -314,6 +322,8 @@
     let times = StopTimes::new(started_at, grace);
     app.stop_times.set(Some(times));
     app.stop_phase.set(StopPhase::Stopping);
+    let late_app = app.clone();
+    spawn_background("refuse_late", move || refuse_late(late_app.clone()));
     sleep(GATE_LINGER).await;
     app.stop_phase.set(StopPhase::Leaving);
     let has_no_target = app.core.with(|node, cx| {
