Serve in a planned stop what can be answered before its end

Cause: an entry in a planned stop passed on everything in the first half of the time and nothing in the second. With much time, a long run that was passed on in the first half was cut off at the end; in the second half short requests were refused, and so were the calls of a run that goes on beside the daemon, which then fails.

Ruled out: shorter deadlines for the targets, since a run that is ended by them is lost all the same.

Change: the entry asks `StopTimes` with the run time it knows of the chosen target, for each attempt, and lets a request wait at a gate and for a target only until then. A call of the own target need only be expected to end in time. `StopPhase::Refusing` is gone.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -9,18 +9,13 @@
     app::App,
     caller::Caller,
     entry_call::EntryCall,
-    failure::{Failure, RETRY_UNCONFIRMED_AFTER},
+    failure::{Failure, RETRY_ELSEWHERE_AFTER, RETRY_UNCONFIRMED_AFTER},
     forwarded_request::{ForwardedRequest, id_text},
     incoming_request::IncomingRequest,
     node_accounts::remove_account_headers,
     reply::Reply,
-    stop_phase::StopPhase,
 };
 
-/// The retry delay for a client that this daemon can't serve now. Other daemons can, so it is short, but
-/// longer than clients need to open a new connection.
-const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
-
 /// Serves one request of a client; a planned stop waits until the reply is written.
 pub(crate) async fn serve_client(app: Rc<App>, incoming: IncomingRequest) -> Reply {
     let work = app.track_work();
@@ -41,9 +36,6 @@
     let request_target = incoming.head.request_target.clone();
     let path = path(&request_target);
     let lookup = app.core.with(|node, _| {
-        if app.stop_phase.get() == StopPhase::Refusing {
-            return Err(RefusalReason::Stopping);
-        }
         let config = node.config.clone().ok_or(RefusalReason::NoConfig)?;
         let route = config.route(&host, path).ok_or(RefusalReason::NoRoute)?;
         let caller =
@@ -60,7 +52,7 @@
             let version = app.core.with(|node, _| node.config_version());
             log::info!(event = "refused", id = id_text(id.as_ref()), reason = reason.as_str(), config_version = version; "");
             let retry_after = match reason {
-                RefusalReason::NoConfig | RefusalReason::Stopping => Some(RETRY_ELSEWHERE_AFTER),
+                RefusalReason::NoConfig => Some(RETRY_ELSEWHERE_AFTER),
                 RefusalReason::Unconfirmed => {
                     Some(RETRY_UNCONFIRMED_AFTER.mul_f64(0.5 + fastrand::f64()))
                 }
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -15,7 +15,7 @@
     app::App,
     attempts::Attempts,
     client_account::ClientAccount,
-    failure::{Failure, RETRY_UNCONFIRMED_AFTER},
+    failure::{Failure, RETRY_ELSEWHERE_AFTER, RETRY_UNCONFIRMED_AFTER},
     fault_injection::reach,
     fault_point::FaultPoint,
     forwarded_request::ForwardedRequest,
@@ -197,6 +197,7 @@
             };
             reach(FaultPoint::Entry, self.forwarded.id_text());
             let call = self.gate_call(app, attempts, &choice);
+            self.check_stop(app, attempts, Some(choice.address))?;
             let seems_busy = choice.expected_wait > call.max_wait;
             if seems_busy && !self.may_ask_busy_gate(app) {
                 // By the latest loads that the gates reported, each of them would refuse the request.
@@ -408,6 +409,7 @@
             if let Some(choice) = choice {
                 return Ok(choice);
             }
+            self.check_stop(app, attempts, None)?;
             if !attempts.excluded_daemons.is_empty() {
                 let reason = attempts.last_reason.unwrap_or(RefusalReason::NoTarget);
                 return Err(attempts.give_up(reason));
@@ -433,6 +435,38 @@
         }
     }
 
+    /// Refuses a request that would start at a daemon's target, or at any, too late to be answered before a planned stop
+    /// of this daemon ends.
+    fn check_stop(
+        &self,
+        app: &Rc<App>,
+        attempts: &mut Attempts,
+        address: Option<SocketAddr>,
+    ) -> Result<(), Failure> {
+        let latest_start = self.latest_start_in_stop(app, address);
+        if latest_start.is_none_or(|latest| Instant::now() <= latest) {
+            return Ok(());
+        }
+        attempts.record_wait(RETRY_ELSEWHERE_AFTER);
+        Err(attempts.give_up(RefusalReason::Stopping))
+    }
+
+    /// Returns until when the request may start at a daemon's target, or at any, in a planned stop of this daemon; `None`
+    /// outside of one.
+    fn latest_start_in_stop(&self, app: &Rc<App>, address: Option<SocketAddr>) -> Option<Instant> {
+        let times = app.stop_times.get()?;
+        let assumed_run_time = self.route.assumed_run_time();
+        let mean_run_time = app.core.with(|node, _| {
+            let peer = node.directory.peer(address?)?;
+            peer.mean_run_time(self.route.key)
+        });
+        Some(if self.is_target_call {
+            times.latest_call_start(self.deadline, mean_run_time.unwrap_or(assumed_run_time))
+        } else {
+            times.latest_start(self.deadline, mean_run_time, assumed_run_time)
+        })
+    }
+
     /// Builds the call to the gate of the chosen target.
     fn gate_call(&self, app: &Rc<App>, attempts: &Attempts, choice: &TargetChoice) -> GateCall {
         let now = Instant::now();
@@ -450,7 +484,10 @@
         if self.has_waiting_run {
             route.goal.target_latency = remaining.mul_f64(CALL_WAIT_SHARE);
         }
-        let route_max_wait = route.goal.max_wait(remaining, expected_run_time);
+        let mut route_max_wait = route.goal.max_wait(remaining, expected_run_time);
+        if let Some(latest_start) = self.latest_start_in_stop(app, Some(choice.address)) {
+            route_max_wait = route_max_wait.min(latest_start.saturating_duration_since(now));
+        }
         let max_wait = match choice.max_wait {
             Some(choice_max_wait) if attempts.not_run_count < MAX_NOT_RUN_ATTEMPTS => {
                 choice_max_wait.min(route_max_wait)
--- a/crates/edge/src/failure.rs
+++ b/crates/edge/src/failure.rs
@@ -7,6 +7,10 @@
 
 use crate::reply::Reply;
 
+/// The retry delay for a client that this daemon can't serve now. Other daemons can, so it is short, but
+/// longer than clients need to open a new connection.
+pub(crate) const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
+
 /// The mean retry delay for a client whose key can't be checked: a daemon asks for a confirmation about as often.
 pub(crate) const RETRY_UNCONFIRMED_AFTER: Duration = Duration::from_millis(500);
 
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -66,10 +66,6 @@
 /// this ends only just early enough for running requests to end within [`STOP_LINGER`].
 const GATE_LINGER: Duration = Duration::from_millis(1_900);
 
-/// The share of the time for a planned stop in which requests are accepted as long as clients send them.
-/// Requests that start at the end of it have the other half to finish.
-const ACCEPTING_SHARE: f64 = 0.5;
-
 /// The interval at which a planned stop checks whether all work is done.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -306,10 +302,11 @@
     }
 }
 
-/// Refuses the requests that wait at the gate as soon as they would start too late in a planned stop.
+/// Refuses the requests that wait, at the gate or for a target, as soon as they would start too late in a planned stop.
 async fn refuse_late(app: Rc<App>) {
     loop {
         app.core.with(|node, _| node.refuse_late(&app));
+        app.targets_changed.notify_waiters();
         sleep(STOP_CHECK_INTERVAL).await;
     }
 }
@@ -339,9 +336,6 @@
         let _ = timeout(ROW_REMOVAL_TIMEOUT, remove_row(app)).await;
     }
     while app.in_flight.get() > 0 && started_at.elapsed() < max_stop_time {
-        if started_at.elapsed() > grace.mul_f64(ACCEPTING_SHARE) {
-            app.stop_phase.set(StopPhase::Refusing);
-        }
         sleep(STOP_CHECK_INTERVAL).await;
     }
     log::info!(event = "stopped", in_flight = app.in_flight.get(); "");
--- a/crates/edge/src/stop_phase.rs
+++ b/crates/edge/src/stop_phase.rs
@@ -8,6 +8,4 @@
     Stopping,
     /// The gate is reported as not serving, and peers' connections are closed after each response too.
     Leaving,
-    /// New requests of clients are refused at once; the remaining time is for the requests in flight.
-    Refusing,
 }
--- a/crates/edge/src/stop_times.rs
+++ b/crates/edge/src/stop_times.rs
@@ -58,6 +58,15 @@
         self.started_at + almost_sure.map_or(expected, |it| it.max(expected))
     }
 
+    /// Returns until when a call of the own target may start. The run that makes it goes on and fails without it, so the
+    /// call need only be expected to end in time.
+    pub(crate) fn latest_call_start(&self, deadline: Instant, run_time: Duration) -> Instant {
+        if self.is_answered_in_time(deadline) {
+            return deadline;
+        }
+        self.started_at + self.start_time(run_time, USUAL_RUN_FACTOR)
+    }
+
     fn is_answered_in_time(&self, deadline: Instant) -> bool {
         deadline + ANSWER_MARGIN <= self.started_at + self.max_time
     }
