Fit the phases of a planned stop into a short time

Cause: the phases had fixed lengths. With `grace_s` of 2 the process was still in its first phases when it was killed; with 3 it ended 0.7 s early with requests in flight.

Change: the gate serves for half of the time at most; the time in which clients are awaited ends before the time does; the exit takes 15 in 100 of it at most. With 6 s nothing changes.

After, 60 requests over the whole of each stop are answered or refused at once.

--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -66,6 +66,9 @@
 /// this ends only just early enough for running requests to end within [`STOP_LINGER`].
 const GATE_LINGER: Duration = Duration::from_millis(1_900);
 
+/// The most of a short stop in which the gate is reported as serving.
+const MAX_GATE_LINGER_SHARE: f64 = 0.5;
+
 /// The interval at which a planned stop checks whether all work is done.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -321,7 +324,7 @@
     app.stop_phase.set(StopPhase::Stopping);
     let late_app = app.clone();
     spawn_background("refuse_late", move || refuse_late(late_app.clone()));
-    sleep(GATE_LINGER).await;
+    sleep(GATE_LINGER.min(times.max_time.mul_f64(MAX_GATE_LINGER_SHARE))).await;
     app.stop_phase.set(StopPhase::Leaving);
     let has_no_target = app.core.with(|node, cx| {
         node.serving = false;
@@ -330,7 +333,8 @@
     });
     release_leases(app).await;
     let max_stop_time = times.max_time;
-    sleep((started_at + STOP_LINGER).saturating_duration_since(Instant::now())).await;
+    let linger = STOP_LINGER.min(max_stop_time.saturating_sub(ROW_REMOVAL_TIMEOUT));
+    sleep((started_at + linger).saturating_duration_since(Instant::now())).await;
     if has_no_target {
         // A row that remains is harmless, since other daemons skip a silent daemon.
         let _ = timeout(ROW_REMOVAL_TIMEOUT, remove_row(app)).await;
--- a/crates/edge/src/stop_times.rs
+++ b/crates/edge/src/stop_times.rs
@@ -3,6 +3,9 @@
 /// The part of the time for a planned stop that is reserved for the exit of the process.
 const EXIT_TIME: Duration = Duration::from_millis(800);
 
+/// The most of a short time for a planned stop that is reserved for the exit of the process.
+const MAX_EXIT_SHARE: f64 = 0.15;
+
 /// The share of the time for a planned stop in which requests start that are only expected to end in time. Later ones
 /// have to be almost sure to.
 const EXPECTING_SHARE: f64 = 0.5;
@@ -31,9 +34,10 @@
 impl StopTimes {
     /// Plans a stop that may take `grace` until the process is killed.
     pub(crate) fn new(started_at: Instant, grace: Duration) -> Self {
+        let exit_time = EXIT_TIME.min(grace.mul_f64(MAX_EXIT_SHARE));
         Self {
             expecting_time: MAX_EXPECTING_TIME.min(grace.mul_f64(EXPECTING_SHARE)),
-            max_time: grace.saturating_sub(EXIT_TIME),
+            max_time: grace.saturating_sub(exit_time),
             started_at,
         }
     }
