Serve the own clients at the own target to the end of a planned stop

Cause: 1.9 s after the begin of a planned stop a daemon's gate counts as not serving, in its own directory too. Clients come for up to 2.3 s. When the target beside the daemon was the only one of its service, they waited for another target for 0.3 of their time and were refused.

Ruled out: reporting the gate as serving for longer, since other daemons could not reach it after the end.

Change: a daemon enters its own record into its directory as serving as long as its target is usable. What it tells others stays as it was.

Result: before, late_in_a_stop printed "own 2.00s after SIGTERM", status 503. After, requests at 0.5, 1.8, 2.0, 2.25 and 2.8 s are served.

--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -153,9 +153,14 @@
     /// Peers that were silent for long are skipped in most ticks. The own record is entered into the directory.
     fn send_reports(&mut self, now: Instant, to_all: bool) {
         let record = self.next_record(now);
+        // In a planned stop the own clients' requests still reach the own target, which may be the only one.
+        let own_record = PeerRecord {
+            serving: self.own_target.usable().is_some(),
+            ..record.clone()
+        };
         if self
             .directory
-            .receive_report(now, record.clone())
+            .receive_report(now, own_record)
             .target_became_usable
         {
             self.wake_target_waiters();
