Don't take a streamed response's run time for the time to its end

Cause: the run time of a response that is passed on in pieces ends with its first bytes. By such a mean, a long body that began late in a planned stop seemed to end in time and was cut off.

Change: entry and gate remember the routes whose responses were streamed; in the later part of a stop their requests start only with a deadline before the end.

Result: before, late_in_a_stop printed "cut off: body 4.00s after SIGTERM" (a body over 1.5 s). After, bodies that begin at 0, 1.5 and 2.9 s arrive whole, and those at 4.0 and 4.6 s are refused at once.

--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -458,7 +458,9 @@
         let assumed_run_time = self.route.assumed_run_time();
         let mean_run_time = app.core.with(|node, _| {
             let peer = node.directory.peer(address?)?;
-            peer.mean_run_time(self.route.key)
+            let is_streamed = node.streamed_routes.contains(&self.route.key);
+            let mean_run_time = peer.mean_run_time(self.route.key);
+            mean_run_time.filter(|_| !is_streamed)
         });
         Some(if self.is_target_call {
             times.latest_call_start(self.deadline, mean_run_time.unwrap_or(assumed_run_time))
@@ -524,12 +526,18 @@
     /// Updates the directory with the load and the run time in a gate's reply, and with what the target's response
     /// says of it.
     fn record_reply(&self, app: &Rc<App>, choice: &TargetChoice, reply: &GateReply) {
-        let is_leaving = match &reply.outcome {
-            RunOutcome::Answered(response) => says_it_leaves(&response.headers),
-            RunOutcome::Lost(_) | RunOutcome::NotRun(_) => false,
+        let (is_leaving, is_streamed) = match &reply.outcome {
+            RunOutcome::Answered(response) => (
+                says_it_leaves(&response.headers),
+                response.streamed_body.is_some(),
+            ),
+            RunOutcome::Lost(_) | RunOutcome::NotRun(_) => (false, false),
         };
         app.core.with(|node, cx| {
             let now = cx.now();
+            if is_streamed {
+                node.streamed_routes.insert(self.route.key);
+            }
             if let Some(peer) = node.directory.peer_mut(choice.address) {
                 if is_leaving {
                     peer.mark_leaving(&choice.target_id);
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -197,7 +197,12 @@
     let timed_out = matches!(outcome, RunOutcome::Lost(RefusalReason::Deadline));
     let run_time_sample = (succeeded || timed_out).then_some(run_time);
     let has_run = !matches!(outcome, RunOutcome::NotRun(_));
+    let is_streamed =
+        matches!(&outcome, RunOutcome::Answered(response) if response.streamed_body.is_some());
     app.core.with(|node, _| {
+        if is_streamed {
+            node.streamed_routes.insert(call.route.key);
+        }
         if has_run {
             // A run beyond the deadline counts by its time: with little time left, a good target misses it too.
             node.record_rollout_run(&call.target_id, call.route.key, run_time, failed);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -86,6 +86,9 @@
     store_lost_at: Option<Instant>,
     /// Whether the store has answered any call for the configuration.
     store_was_reached: bool,
+    /// The routes of which responses were passed on in pieces, so that their run times don't contain all of the time to
+    /// their end.
+    pub(crate) streamed_routes: HashSet<RouteKey>,
     /// What the own target's latest response said of the target.
     pub(crate) target_notice: TargetNotice,
     /// When the next tick is due, for measuring how late it comes; none before the first one.
@@ -139,6 +142,7 @@
             store_confirmed_at: None,
             store_lost_at: None,
             store_was_reached: false,
+            streamed_routes: HashSet::new(),
             target_notice: TargetNotice::default(),
             tick_due_at: None,
             tick_number: 0,
--- a/crates/edge/src/node_gate.rs
+++ b/crates/edge/src/node_gate.rs
@@ -151,7 +151,8 @@
     /// Returns whether a request that starts now is answered before a planned stop ends, if there is one.
     fn may_start(&self, app: &App, now: Instant, deadline: Instant, route: &HopRoute) -> bool {
         app.stop_times.get().is_none_or(|times| {
-            let mean = self.run_times.mean(route.key);
+            let is_streamed = self.streamed_routes.contains(&route.key);
+            let mean = self.run_times.mean(route.key).filter(|_| !is_streamed);
             now <= times.latest_start(deadline, mean, route.assumed_run_time)
         })
     }
