--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -44,6 +44,7 @@
     server_kind::ServerKind,
     status_rows::{follow_statuses, write_statuses},
     stop_phase::StopPhase,
+    stop_times::StopTimes,
     store_client::StoreClient,
 };
 
@@ -67,12 +68,8 @@
 /// this ends only just early enough for running requests to end within [`STOP_LINGER`].
 const GATE_LINGER: Duration = Duration::from_millis(1_900);
 
-/// The share of the time for a planned stop in which requests are accepted as long as clients send them.
-/// Requests that start at the end of it have the other half to finish.
-const ACCEPTING_SHARE: f64 = 0.5;
-
-/// The part of the time for a planned stop that is reserved for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(800);
+/// The most of a short stop in which the gate is reported as serving.
+const MAX_GATE_LINGER_SHARE: f64 = 0.5;
 
 /// The interval at which a planned stop checks whether all work is done.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -243,6 +240,7 @@
         settings: settings.clone(),
         status_write_due: Notify::new(),
         stop_phase: Cell::new(StopPhase::Serving),
+        stop_times: Cell::new(None),
         store: StoreClient::new(settings.store_address),
         store_needed: Notify::new(),
         target_pool: ConnectionPool::new(MAX_TARGET_IDLE_TIME, MAX_IDLE_TO_TARGET),
@@ -328,13 +326,27 @@
     }
 }
 
+/// Refuses the requests that wait, at the gate or for a target, as soon as they would start too late in a planned stop.
+async fn refuse_late(app: Rc<App>) {
+    loop {
+        app.core.with(|node, _| node.refuse_late(&app));
+        app.targets_changed.notify_waiters();
+        sleep(STOP_CHECK_INTERVAL).await;
+    }
+}
+
 /// Performs a planned stop: waits for the requests in flight, as far as the time for the stop allows.
 async fn stop(app: &Rc<App>) {
     let started_at = Instant::now();
     log::info!(event = "stop", in_flight = app.in_flight.get(); "");
+    let grace = app.core.with(|node, _| node.settings.grace);
+    let times = StopTimes::new(started_at, grace);
+    app.stop_times.set(Some(times));
     app.stop_phase.set(StopPhase::Stopping);
     reach(FaultPoint::Stop, "");
-    sleep(GATE_LINGER).await;
+    let late_app = app.clone();
+    spawn_background("refuse_late", move || refuse_late(late_app.clone()));
+    sleep(GATE_LINGER.min(times.max_time.mul_f64(MAX_GATE_LINGER_SHARE))).await;
     app.stop_phase.set(StopPhase::Leaving);
     let has_no_target = app.core.with(|node, cx| {
         node.serving = false;
@@ -342,17 +354,14 @@
         node.own_target.usable().is_none()
     });
     release_leases(app).await;
-    let grace = app.core.with(|node, _| node.settings.grace);
-    let max_stop_time = grace.saturating_sub(STOP_MARGIN);
-    sleep((started_at + STOP_LINGER).saturating_duration_since(Instant::now())).await;
+    let max_stop_time = times.max_time;
+    let linger = STOP_LINGER.min(max_stop_time.saturating_sub(ROW_REMOVAL_TIMEOUT));
+    sleep((started_at + linger).saturating_duration_since(Instant::now())).await;
     if has_no_target {
         // A row that remains is harmless, since other daemons skip a silent daemon.
         let _ = timeout(ROW_REMOVAL_TIMEOUT, remove_row(app)).await;
     }
     while app.in_flight.get() > 0 && started_at.elapsed() < max_stop_time {
-        if started_at.elapsed() > grace.mul_f64(ACCEPTING_SHARE) {
-            app.stop_phase.set(StopPhase::Refusing);
-        }
         sleep(STOP_CHECK_INTERVAL).await;
     }
     log::info!(event = "stopped", in_flight = app.in_flight.get(); "");
