Don't count a client as idle while it waits for a reply

Cause: `read_deadline` returned `idle_timeout` from now on for whatever was read next, also while nothing was to be read: while the client awaited its response, and while a long body was full since its handler read nothing. A reply as a whole had to be written within `idle_timeout`, however steadily its client read.

Ruled out: a longer limit while replies are pending, which only moves the fault, since the request's deadline bounds that time already; no limit at all, since a client that stops in the middle of a body would hold its connection for ever.

Change: a read deadline exists only while the client has something to send. For bodies it counts from the last progress, which is stored: a connection to a peer computed it anew with each interim response. A long body that comes too slowly doesn't end the replies before it any more. A reply fails once its client has taken nothing for `idle_timeout`; the kernel reports progress in large steps there.

--- a/crates/edge/src/byte_stream.rs
+++ b/crates/edge/src/byte_stream.rs
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWriteExt, ReadBuf},
     net::TcpStream,
+    time::timeout,
 };
 
 use crate::loss_detection::LossDetection;
@@ -70,7 +71,7 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> io::Result<Self> {
-        let stream = tokio::time::timeout(connect_timeout, TcpStream::connect(address))
+        let stream = timeout(connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let mut stream = Self::new(stream);
@@ -155,6 +156,22 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes as [`Self::write`] does, and fails once the other end has taken nothing for `max_stall`.
+    pub(crate) async fn write_without_stall(
+        &mut self,
+        mut bytes: &[u8],
+        max_stall: Duration,
+    ) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match timeout(max_stall, self.stream.write(bytes)).await {
+                Ok(Ok(0)) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => bytes = &bytes[written?..],
+                Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+            }
+        }
+        Ok(())
+    }
+
     pub(crate) async fn shutdown(&mut self) {
         if let Err(error) = self.stream.shutdown().await {
             log::trace!(event = "shutdown", error = error.to_string().as_str(); "");
--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -54,6 +54,8 @@
 pub(crate) struct ServerConnection {
     client_ip: IpAddr,
     handler: Handler,
+    /// When the client last sent bytes, or could send or receive again.
+    last_progress_at: Instant,
     last_used_at: Instant,
     options: Box<dyn Fn() -> ServerOptions>,
     pending_replies: FuturesOrdered<PendingReply>,
@@ -98,6 +100,7 @@
         Self {
             client_ip,
             handler,
+            last_progress_at: Instant::now(),
             last_used_at: Instant::now(),
             options,
             pending_replies: FuturesOrdered::new(),
@@ -116,8 +119,7 @@
             if self.pending_replies.is_empty() && matches!(self.reading, Reading::Nothing) {
                 return;
             }
-            let can_read = !matches!(self.reading, Reading::Nothing)
-                && self.pending_replies.len() < MAX_PIPELINED_REQUESTS;
+            let can_read = self.can_read();
             let deadline = self.read_deadline();
             let interim_after = (self.options)().interim_after;
             tokio::select! {
@@ -139,13 +141,16 @@
                         return self.linger().await;
                     }
                     self.last_used_at = Instant::now();
+                    self.last_progress_at = self.last_used_at;
                 }
-                () = wait_for_capacity(&self.reading), if is_full(&self.reading) => {}
-                read = self.stream.fill(), if can_read && !is_full(&self.reading) => match read {
+                () = wait_for_capacity(&self.reading), if is_full(&self.reading) => {
+                    self.last_progress_at = Instant::now();
+                }
+                read = self.stream.fill(), if can_read => match read {
                     Ok(0) | Err(_) => return,
-                    Ok(_) => {}
+                    Ok(_) => self.last_progress_at = Instant::now(),
                 },
-                () = sleep_until(deadline.into()) => {
+                () = sleep_until_some(deadline) => {
                     if !self.handle_timeout() {
                         return;
                     }
@@ -160,6 +165,13 @@
         }
     }
 
+    /// Returns whether bytes that are read now can be parsed soon.
+    fn can_read(&self) -> bool {
+        !matches!(self.reading, Reading::Nothing)
+            && self.pending_replies.len() < MAX_PIPELINED_REQUESTS
+            && !is_full(&self.reading)
+    }
+
     /// Parses the buffer as far as possible and handles the requests in it.
     fn parse_requests(&mut self) {
         while self.pending_replies.len() < MAX_PIPELINED_REQUESTS {
@@ -343,23 +355,29 @@
             .push_back(Box::pin(std::future::ready((reply, false))));
     }
 
-    /// Returns when reading times out: a request's head has a limit from its first byte on, and everything
-    /// else a limit on the time without progress.
-    fn read_deadline(&self) -> Instant {
+    /// Returns when reading times out, if it does: a request's head has a limit from its first byte on, and
+    /// everything else a limit on the time without progress. A client that waits for a reply, or for its body to be
+    /// passed on, isn't idle; the deadline of its request limits that time.
+    fn read_deadline(&self) -> Option<Instant> {
         let limits = (self.options)().limits;
         match &self.reading {
+            Reading::Body { .. } => Some(self.last_progress_at + limits.idle_timeout),
             Reading::Head {
                 started_at: Some(started_at),
-            } => *started_at + limits.header_timeout,
-            Reading::Head { started_at: None } if self.pending_replies.is_empty() => {
-                self.last_used_at + limits.idle_timeout
-            }
-            _ => Instant::now() + limits.idle_timeout,
+            } => Some(*started_at + limits.header_timeout),
+            Reading::Head { started_at: None } => self
+                .pending_replies
+                .is_empty()
+                .then(|| self.last_used_at + limits.idle_timeout),
+            Reading::LongBody { .. } => self
+                .can_read()
+                .then(|| self.last_progress_at + limits.idle_timeout),
+            Reading::Nothing => None,
         }
     }
 
-    /// Handles a read timeout; returns whether the connection goes on, to reply to a request that came too
-    /// slowly.
+    /// Handles a read timeout; returns whether the connection goes on, to reply to the requests that came before or
+    /// to one that came too slowly.
     fn handle_timeout(&mut self) -> bool {
         match std::mem::replace(&mut self.reading, Reading::Nothing) {
             Reading::Head { started_at: None } | Reading::Nothing => false,
@@ -370,7 +388,11 @@
                 self.reject(HttpError::TooSlow);
                 true
             }
-            Reading::LongBody { pieces, .. } => pieces.try_send(Err(HttpError::TooSlow)).is_ok(),
+            Reading::LongBody { pieces, .. } => {
+                // An error means that the handler needs no more of the body. Its reply may still be awaited.
+                let _ = pieces.try_send(Err(HttpError::TooSlow));
+                true
+            }
         }
     }
 
@@ -392,9 +414,8 @@
                 );
                 out.extend_from_slice(&body);
                 // A client that reads nothing must not hold the replies to its later requests, which may hold slots.
-                let max_time = (self.options)().limits.idle_timeout;
-                let written = timeout(max_time, self.stream.write(&out)).await;
-                written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+                let max_stall = (self.options)().limits.idle_timeout;
+                self.stream.write_without_stall(&out, max_stall).await
             }
             ReplyBody::Stream(mut body) => {
                 let framing = body
@@ -498,6 +519,13 @@
     work.await
 }
 
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep_for(duration: Option<std::time::Duration>) {
     match duration {
         Some(duration) => tokio::time::sleep(duration).await,
