Give connections of other daemons limits of their own

Cause: the operator's limits on what clients send applied to hops, too. A head that was within `max_header_bytes`, or had no more than the 96 headers of any message, exceeded it with the hop's own headers; a head that a link delayed for longer than `header_timeout` was rejected with 408, which has no verdict and so means that the hop is lost. A gate with another version of the configuration rejected a body that the entry had accepted. With an `idle_timeout` below 30 s, gates closed connections that entries kept for later hops.

Ruled out: adding an allowance to the limits for clients, since entry and gate may have different versions of them; no limits, since what connects to the port may be no daemon.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -76,6 +76,7 @@
 mod own_exchange;
 mod panic_backtrace;
 mod panic_hook;
+mod peer_limits;
 mod peer_sync;
 mod pending_hops;
 mod pending_question;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -4,8 +4,15 @@
 use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
-    app::App, byte_stream::ByteStream, edge_error::EdgeError, server_connection::Handler,
-    server_connection::ServerConnection, server_options::ServerOptions, stop_phase::StopPhase,
+    app::App,
+    byte_stream::ByteStream,
+    edge_error::EdgeError,
+    message_head::{MAX_HEADERS, MAX_HOP_HEADERS},
+    peer_limits::PEER_LIMITS,
+    server_connection::Handler,
+    server_connection::ServerConnection,
+    server_options::ServerOptions,
+    stop_phase::StopPhase,
 };
 
 /// How many connections may wait to be accepted: many clients connect at once.
@@ -32,14 +39,15 @@
 }
 
 /// Accepts connections and serves each in a task of its own. `interim_after` is set for peers' connections
-/// only. In a planned stop, these are closed after a reply from [`StopPhase::Leaving`] on, and others from
-/// [`StopPhase::Stopping`] on.
+/// only, which have limits of their own. In a planned stop, these are closed after a reply from
+/// [`StopPhase::Leaving`] on, and others from [`StopPhase::Stopping`] on.
 pub(crate) async fn accept(
     app: Rc<App>,
     listener: Rc<TcpListener>,
     handler: Handler,
     interim_after: Option<Duration>,
 ) {
+    let is_peer = interim_after.is_some();
     loop {
         let (mut stream, client_ip) = match listener.accept().await {
             Ok((stream, client_address)) => (ByteStream::new(stream), client_address.ip()),
@@ -49,17 +57,25 @@
                 continue;
             }
         };
-        if interim_after.is_some() {
+        if is_peer {
             stream.enable_loss_detection();
         }
         let limits_app = app.clone();
         let options = Box::new(move || ServerOptions {
             interim_after,
-            limits: limits_app.limits.get(),
+            limits: if is_peer {
+                PEER_LIMITS
+            } else {
+                limits_app.limits.get()
+            },
+            max_headers: if is_peer {
+                MAX_HOP_HEADERS
+            } else {
+                MAX_HEADERS
+            },
         });
         let connection = ServerConnection::new(stream, client_ip, handler.clone(), options);
         let phase_app = app.clone();
-        let is_peer = interim_after.is_some();
         let is_stopping = move || {
             if is_peer {
                 phase_app.stop_phase.get() >= StopPhase::Leaving
--- a/crates/edge/src/message_head.rs
+++ b/crates/edge/src/message_head.rs
@@ -1,9 +1,12 @@
 use bytes::{Bytes, BytesMut};
 
-use crate::{header_list::HeaderList, http_error::HttpError};
+use crate::{header_list::HeaderList, http_error::HttpError, server_options::ServerOptions};
 
-/// The most headers of a message; usual messages have some dozens at most.
-const MAX_HEADERS: usize = 96;
+/// The most headers of a message from outside the mesh; usual messages have some dozens at most.
+pub(crate) const MAX_HEADERS: usize = 96;
+
+/// The most headers of a hop, which adds some of its own to those of its client.
+pub(crate) const MAX_HOP_HEADERS: usize = 128;
 
 /// The request line and the headers of a request.
 #[derive(Clone, Debug)]
@@ -24,9 +27,14 @@
 
 impl RequestHead {
     /// Parses a request's head and removes it from `buffer`; returns `None` if it isn't complete yet.
-    pub(crate) fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HttpError> {
-        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut parsed = httparse::Request::new(&mut fields);
+    pub(crate) fn take(
+        buffer: &mut BytesMut,
+        options: &ServerOptions,
+    ) -> Result<Option<Self>, HttpError> {
+        let max_bytes = options.limits.max_header_bytes;
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HOP_HEADERS];
+        let max_headers = options.max_headers.min(fields.len());
+        let mut parsed = httparse::Request::new(&mut fields[..max_headers]);
         let Some(head_length) = head_length(parsed.parse(buffer), buffer.len(), max_bytes)? else {
             return Ok(None);
         };
--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -189,7 +189,8 @@
 
     /// Parses the next head or piece of a body; returns whether there may be more in the buffer.
     fn parse_step(&mut self) -> Result<bool, HttpError> {
-        let limits = (self.options)().limits;
+        let options = (self.options)();
+        let limits = options.limits;
         match std::mem::replace(&mut self.reading, Reading::Nothing) {
             Reading::Head { started_at } => {
                 let started_at = if self.stream.buffer.is_empty() {
@@ -202,9 +203,7 @@
                 if self.stream.buffer.is_empty() {
                     return Ok(false);
                 }
-                let Some(head) =
-                    RequestHead::take(&mut self.stream.buffer, limits.max_header_bytes)?
-                else {
+                let Some(head) = RequestHead::take(&mut self.stream.buffer, &options)? else {
                     return Ok(false);
                 };
                 let framing = BodyFraming::of_request(&head.headers, head.is_http_11)?;
--- a/crates/edge/src/server_options.rs
+++ b/crates/edge/src/server_options.rs
@@ -8,4 +8,6 @@
     /// After how long without a response an interim response is sent; `None` for never.
     pub(crate) interim_after: Option<Duration>,
     pub(crate) limits: MessageLimits,
+    /// The most headers of a request.
+    pub(crate) max_headers: usize,
 }
