--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -4,8 +4,15 @@
 use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
-    app::App, byte_stream::ByteStream, edge_error::EdgeError, server_connection::Handler,
-    server_connection::ServerConnection, server_kind::ServerKind, server_options::ServerOptions,
+    app::App,
+    byte_stream::ByteStream,
+    edge_error::EdgeError,
+    message_head::{MAX_HEADERS, MAX_HOP_HEADERS},
+    peer_limits::PEER_LIMITS,
+    server_connection::Handler,
+    server_connection::ServerConnection,
+    server_kind::ServerKind,
+    server_options::ServerOptions,
     stop_phase::StopPhase,
 };
 
@@ -32,8 +39,8 @@
     open().map_err(|error| EdgeError::Listen { address, error })
 }
 
-/// Accepts connections and serves each in a task of its own. In a planned stop, those of peers are closed after a reply
-/// from [`StopPhase::Leaving`] on, and others from [`StopPhase::Stopping`] on.
+/// Accepts connections and serves each in a task of its own. Those of peers have limits of their own. In a planned stop,
+/// these are closed after a reply from [`StopPhase::Leaving`] on, and others from [`StopPhase::Stopping`] on.
 pub(crate) async fn accept(
     app: Rc<App>,
     listener: Rc<TcpListener>,
@@ -56,7 +63,16 @@
         let limits_app = app.clone();
         let options = Box::new(move || ServerOptions {
             interim_after: kind.interim_after(),
-            limits: limits_app.limits.get(),
+            limits: if is_peer {
+                PEER_LIMITS
+            } else {
+                limits_app.limits.get()
+            },
+            max_headers: if is_peer {
+                MAX_HOP_HEADERS
+            } else {
+                MAX_HEADERS
+            },
             serves_absent_senders: kind.serves_absent_senders(),
         });
         let connection = ServerConnection::new(stream, client_ip, handler.clone(), options);
--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -54,6 +54,8 @@
 pub(crate) struct ServerConnection {
     client_ip: IpAddr,
     handler: Handler,
+    /// When the client last sent bytes, or could send or receive again.
+    last_progress_at: Instant,
     last_used_at: Instant,
     options: Box<dyn Fn() -> ServerOptions>,
     pending_replies: FuturesOrdered<PendingReply>,
@@ -98,6 +100,7 @@
         Self {
             client_ip,
             handler,
+            last_progress_at: Instant::now(),
             last_used_at: Instant::now(),
             options,
             pending_replies: FuturesOrdered::new(),
@@ -129,7 +132,10 @@
                     // The end of the stream may have arrived with the request.
                     match self.try_read() {
                         Some(Ok(0) | Err(_)) => return,
-                        Some(Ok(_)) if can_read => continue,
+                        Some(Ok(_)) if can_read => {
+                            self.last_progress_at = Instant::now();
+                            continue;
+                        }
                         Some(Ok(_)) | None => {}
                     }
                 }
@@ -154,14 +160,17 @@
                         return self.linger().await;
                     }
                     self.last_used_at = Instant::now();
+                    self.last_progress_at = self.last_used_at;
+                }
+                () = wait_for_capacity(&self.reading), if is_full(&self.reading) => {
+                    self.last_progress_at = Instant::now();
                 }
-                () = wait_for_capacity(&self.reading), if is_full(&self.reading) => {}
                 read = self.stream.fill(), if can_read || watches_end => match read {
                     Ok(0) | Err(_) => return,
                     Ok(_) if watches_end => self.stream.buffer.clear(),
-                    Ok(_) => {}
+                    Ok(_) => self.last_progress_at = Instant::now(),
                 },
-                () = sleep_until(deadline.into()) => {
+                () = sleep_until_some(deadline) => {
                     if !self.handle_timeout() {
                         return;
                     }
@@ -207,7 +216,8 @@
 
     /// Parses the next head or piece of a body; returns whether there may be more in the buffer.
     fn parse_step(&mut self) -> Result<bool, HttpError> {
-        let limits = (self.options)().limits;
+        let options = (self.options)();
+        let limits = options.limits;
         match std::mem::replace(&mut self.reading, Reading::Nothing) {
             Reading::Head { started_at } => {
                 let started_at = if self.stream.buffer.is_empty() {
@@ -220,9 +230,7 @@
                 if self.stream.buffer.is_empty() {
                     return Ok(false);
                 }
-                let Some(head) =
-                    RequestHead::take(&mut self.stream.buffer, limits.max_header_bytes)?
-                else {
+                let Some(head) = RequestHead::take(&mut self.stream.buffer, &options)? else {
                     return Ok(false);
                 };
                 let framing = BodyFraming::of_request(&head.headers, head.is_http_11)?;
@@ -373,23 +381,29 @@
             .push_back(Box::pin(std::future::ready((reply, false))));
     }
 
-    /// Returns when reading times out: a request's head has a limit from its first byte on, and everything
-    /// else a limit on the time without progress.
-    fn read_deadline(&self) -> Instant {
+    /// Returns when reading times out, if it does: a request's head has a limit from its first byte on, and
+    /// everything else a limit on the time without progress. A client that waits for a reply, or for its body to be
+    /// passed on, isn't idle; the deadline of its request limits that time.
+    fn read_deadline(&self) -> Option<Instant> {
         let limits = (self.options)().limits;
         match &self.reading {
+            Reading::Body { .. } => Some(self.last_progress_at + limits.idle_timeout),
             Reading::Head {
                 started_at: Some(started_at),
-            } => *started_at + limits.header_timeout,
-            Reading::Head { started_at: None } if self.pending_replies.is_empty() => {
-                self.last_used_at + limits.idle_timeout
-            }
-            _ => Instant::now() + limits.idle_timeout,
+            } => Some(*started_at + limits.header_timeout),
+            Reading::Head { started_at: None } => self
+                .pending_replies
+                .is_empty()
+                .then(|| self.last_used_at + limits.idle_timeout),
+            Reading::LongBody { .. } => self
+                .can_read()
+                .then(|| self.last_progress_at + limits.idle_timeout),
+            Reading::Nothing => None,
         }
     }
 
-    /// Handles a read timeout; returns whether the connection goes on, to reply to a request that came too
-    /// slowly.
+    /// Handles a read timeout; returns whether the connection goes on, to reply to the requests that came before or
+    /// to one that came too slowly.
     fn handle_timeout(&mut self) -> bool {
         match std::mem::replace(&mut self.reading, Reading::Nothing) {
             Reading::Head { started_at: None } | Reading::Nothing => false,
@@ -400,7 +414,11 @@
                 self.reject(HttpError::TooSlow);
                 true
             }
-            Reading::LongBody { pieces, .. } => pieces.try_send(Err(HttpError::TooSlow)).is_ok(),
+            Reading::LongBody { pieces, .. } => {
+                // An error means that the handler needs no more of the body. Its reply may still be awaited.
+                let _ = pieces.try_send(Err(HttpError::TooSlow));
+                true
+            }
         }
     }
 
@@ -422,9 +440,8 @@
                 );
                 out.extend_from_slice(&body);
                 // A client that reads nothing must not hold the replies to its later requests, which may hold slots.
-                let max_time = (self.options)().limits.idle_timeout;
-                let written = timeout(max_time, self.stream.write(&out)).await;
-                written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+                let max_stall = (self.options)().limits.idle_timeout;
+                self.stream.write_without_stall(&out, max_stall).await
             }
             ReplyBody::Stream(mut body) => {
                 let framing = body
@@ -528,6 +545,13 @@
     work.await
 }
 
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep_for(duration: Option<std::time::Duration>) {
     match duration {
         Some(duration) => tokio::time::sleep(duration).await,
