Show answers that are cut off behind uploads answered early

Cause: a daemon that has written the reply to a long upload which its upstream answered before reading it closes the connection with unread bytes and without lingering, so that the kernel resets it and drops the rest of the answer.

Done: a case that sends 30 uploads on kept connections of three machines, and reads while it sends.

--- a/review/stand-ins/src/cases/mod.rs
+++ b/review/stand-ins/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases by name.
 
 mod crash_suspects;
+mod cut_answers;
 mod cut_uploads;
 mod hostnames;
 mod long_poison;
@@ -48,6 +49,7 @@
         .say(&format!("case {name}, {trouble} the disruption"));
     match name {
         "crash-suspects" => crash_suspects::run(setting),
+        "cut-answers" => cut_answers::run(setting),
         "cut-uploads" => cut_uploads::run(setting),
         "hostnames" => hostnames::run(setting),
         "long-poison" => long_poison::run(setting),
--- a/review/stand-ins/src/upstream.rs
+++ b/review/stand-ins/src/upstream.rs
@@ -171,7 +171,14 @@
                 read_body(&mut reader, &mut request)?;
             }
             let answer = self.answer(&request);
-            writer.write_all(&answer)?;
+            let written = writer.write_all(&answer);
+            let id = request.header("Request-Id").unwrap_or_default();
+            match &written {
+                Ok(()) if !id.is_empty() => say(&format!("answered {id} whole")),
+                Ok(()) => {}
+                Err(error) => say(&format!("not answered {id}: {error}")),
+            }
+            written?;
             if is_early {
                 read_rest(&mut reader, &request)?;
             }
