Show answers that a planned stop cuts off late in it

Cause: the daemon takes all requests from its own instance's address for calls of its target, and clients have that address. In a planned stop a call starts if it is expected to end in time, a client's request only if it is almost sure to; so clients' requests start too late and are cut off at the end of the stop.

Done: a case that stops two of a zone's three daemons at a time, five times, while the clients go on as the platform lets them.

--- a/review/stand-ins/src/cases/mod.rs
+++ b/review/stand-ins/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod cut_answers;
 mod cut_uploads;
 mod hostnames;
+mod late_stops;
 mod long_poison;
 mod swallowed_requests;
 
@@ -52,6 +53,7 @@
         "cut-answers" => cut_answers::run(setting),
         "cut-uploads" => cut_uploads::run(setting),
         "hostnames" => hostnames::run(setting),
+        "late-stops" => late_stops::run(setting),
         "long-poison" => long_poison::run(setting),
         "swallowed-requests" => swallowed_requests::run(setting),
         _ => Err(format!("there is no case {name}")),
--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -2,7 +2,8 @@
 
 use std::{
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream},
+    os::fd::{FromRawFd, OwnedFd},
     thread,
     time::Duration,
 };
@@ -178,3 +179,58 @@
     }
     Ok(())
 }
+
+/// Opens a connection from an address of this machine, as a client that runs there does: towards the own address of a
+/// machine the kernel chooses that address, but not within the loopback range.
+pub fn connect_from(ip: Ipv4Addr, address: SocketAddrV4) -> io::Result<TcpStream> {
+    // SAFETY: a call without pointers.
+    let socket = unsafe { socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0) };
+    if socket < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    // SAFETY: the descriptor was just opened and belongs to nobody else.
+    let owned = unsafe { OwnedFd::from_raw_fd(socket) };
+    let from = InternetAddress::new(SocketAddrV4::new(ip, 0));
+    let to = InternetAddress::new(address);
+    // SAFETY: both addresses have the layout and the length that the calls expect, and outlive them.
+    let is_connected = unsafe {
+        bind(socket, &raw const from, ADDRESS_BYTES) == 0
+            && connect(socket, &raw const to, ADDRESS_BYTES) == 0
+    };
+    if !is_connected {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(owned.into())
+}
+
+const AF_INET: i32 = 2;
+const SOCK_STREAM: i32 = 1;
+const SOCK_CLOEXEC: i32 = 0o2_000_000;
+const ADDRESS_BYTES: u32 = 16;
+
+/// `struct sockaddr_in` of Linux.
+#[repr(C)]
+struct InternetAddress {
+    family: u16,
+    port: [u8; 2],
+    ip: [u8; 4],
+    padding: [u8; 8],
+}
+
+impl InternetAddress {
+    fn new(address: SocketAddrV4) -> Self {
+        Self {
+            family: 2,
+            port: address.port().to_be_bytes(),
+            ip: address.ip().octets(),
+            padding: [0; 8],
+        }
+    }
+}
+
+// The standard library opens no connection from a given address.
+unsafe extern "C" {
+    fn bind(socket: i32, address: *const InternetAddress, length: u32) -> i32;
+    fn connect(socket: i32, address: *const InternetAddress, length: u32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+}
--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -69,17 +69,33 @@
         SocketAddr::new(IpAddr::V4(self.ip), port)
     }
 
+    /// Returns where the daemon answers readiness checks.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.address(READY_PORT)
+    }
+
     /// Returns the status of the readiness check; 0 without an answer.
     pub fn readiness(&self) -> u16 {
-        let ask = || {
-            let timeout = Duration::from_millis(500);
-            let stream = TcpStream::connect_timeout(&self.address(READY_PORT), timeout)?;
-            stream.set_read_timeout(Some(timeout))?;
-            let text = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-            (&stream).write_all(text.as_bytes())?;
-            read(&mut BufReader::new(&stream)).map(|answer| answer.status())
-        };
-        ask().unwrap_or_default()
+        readiness(self.readiness_address())
+    }
+
+    /// Returns the machine's address, which its clients have, too.
+    pub const fn ip(&self) -> Ipv4Addr {
+        self.ip
+    }
+
+    /// Sends SIGTERM to the daemon.
+    pub fn terminate_daemon(&self) -> Result<(), String> {
+        let command = format!("kill -TERM {}", self.daemon.id());
+        let status = Command::new("sh").args(["-c", &command]).status();
+        let status = status.map_err(|error| error.to_string())?;
+        status.success().then_some(()).ok_or("no signal".into())
+    }
+
+    /// Kills the daemon, as the platform does at the end of the time for a stop.
+    pub fn kill_daemon(&mut self) {
+        let _ = self.daemon.kill();
+        let _ = self.daemon.wait();
     }
 
     /// Returns whether the daemon still runs.
@@ -146,22 +162,14 @@
         let settings = settings_text(&name, zone, ip, store_address(network), service);
         let path = self.directory.join(format!("{name}.json"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
-        let log = fs::File::create(self.directory.join(format!("{name}.log")));
-        let log = log.map_err(|error| error.to_string())?;
-        // The command of the deploy file, in the repository's root.
-        let daemon = Command::new("target/release/medlarspoold")
-            .arg("--site")
-            .env("MEDLARSPOOL_NODE_FILE", &path)
-            .current_dir(root)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()
-            .map_err(|error| format!("the daemon can't be started: {error}"))?;
+        let daemon = self.spawn_daemon(root, &name)?;
         let mut options = UpstreamOptions {
             address: address(APP_PORT),
             control: address(CONTROL_PORT),
             crash_mark: String::new(),
             early_mark: String::new(),
+            long_every: 0,
+            long_work: Duration::ZERO,
             id: format!("i-{index:02}-0"),
             response_bytes: 100,
             service: service.into(),
@@ -182,6 +190,33 @@
         Ok(())
     }
 
+    /// Starts a machine's daemon with the command of the deploy file, in the repository's root.
+    fn spawn_daemon(&self, root: &Path, name: &str) -> Result<Child, String> {
+        let log = fs::File::options()
+            .append(true)
+            .create(true)
+            .open(self.directory.join(format!("{name}.log")));
+        let log = log.map_err(|error| error.to_string())?;
+        Command::new("target/release/medlarspoold")
+            .arg("--site")
+            .env(
+                "MEDLARSPOOL_NODE_FILE",
+                self.directory.join(format!("{name}.json")),
+            )
+            .current_dir(root)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn()
+            .map_err(|error| format!("the daemon can't be started: {error}"))
+    }
+
+    /// Starts the daemon of a machine again, after it has ended.
+    pub fn restart_daemon(&mut self, root: &Path, index: usize) -> Result<(), String> {
+        let daemon = self.spawn_daemon(root, &self.machines[index].name)?;
+        self.machines[index].daemon = daemon;
+        Ok(())
+    }
+
     /// Starts the upstream of a machine again, as a new incarnation with a new id.
     pub fn restart_upstream(&mut self, index: usize) -> Result<(), String> {
         let machine = &mut self.machines[index];
@@ -228,7 +263,8 @@
         Ok(child)
     }
 
-    fn wait_until_ready(&mut self) -> Result<(), String> {
+    /// Waits until all machines are ready, and their daemons know each other's upstreams.
+    pub fn wait_until_ready(&mut self) -> Result<(), String> {
         let deadline = Instant::now() + START_TIMEOUT;
         while !self
             .machines
@@ -271,6 +307,19 @@
     }
 }
 
+/// Asks a daemon whether it is ready; returns the status of its answer, or 0 without one.
+pub fn readiness(address: SocketAddr) -> u16 {
+    let ask = || {
+        let timeout = Duration::from_millis(500);
+        let stream = TcpStream::connect_timeout(&address, timeout)?;
+        stream.set_read_timeout(Some(timeout))?;
+        let text = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        (&stream).write_all(text.as_bytes())?;
+        read(&mut BufReader::new(&stream)).map(|answer| answer.status())
+    };
+    ask().unwrap_or_default()
+}
+
 fn store_address(network: u8) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, 0, 1)), STORE_PORT)
 }
--- a/review/stand-ins/src/upstream.rs
+++ b/review/stand-ins/src/upstream.rs
@@ -33,6 +33,9 @@
     pub crash_mark: String,
     /// A request whose path contains this text is answered before its body was read; empty for none.
     pub early_mark: String,
+    /// One run in so many takes `long_work` instead of `work`; 0 for none.
+    pub long_every: usize,
+    pub long_work: Duration,
     pub id: String,
     /// The number of bytes in a response's body.
     pub response_bytes: usize,
@@ -51,6 +54,8 @@
             self.control.to_string(),
             format!("crash={}", self.crash_mark),
             format!("early={}", self.early_mark),
+            self.long_every.to_string(),
+            self.long_work.as_millis().to_string(),
             self.id.clone(),
             self.response_bytes.to_string(),
             self.service.clone(),
@@ -70,6 +75,8 @@
             control: next()?.parse().ok()?,
             crash_mark: next()?.strip_prefix("crash=")?.into(),
             early_mark: next()?.strip_prefix("early=")?.into(),
+            long_every: next()?.parse().ok()?,
+            long_work: Duration::from_millis(next()?.parse().ok()?),
             id: next()?.into(),
             response_bytes: next()?.parse().ok()?,
             service: next()?.into(),
@@ -83,6 +90,7 @@
 struct Upstream {
     has_announced: AtomicBool,
     options: UpstreamOptions,
+    run_count: AtomicUsize,
     running: Mutex<usize>,
     slot_freed: Condvar,
     waiting: AtomicUsize,
@@ -94,6 +102,7 @@
     let upstream = Arc::new(Upstream {
         has_announced: AtomicBool::new(false),
         options,
+        run_count: AtomicUsize::new(0),
         running: Mutex::new(0),
         slot_freed: Condvar::new(),
         waiting: AtomicUsize::new(0),
@@ -217,13 +226,23 @@
             // The process ends without a word, as one that crashes does.
             process::exit(3);
         }
-        thread::sleep(self.options.work);
+        thread::sleep(self.next_work());
         *self.running.lock().unwrap() -= 1;
         self.slot_freed.notify_one();
         let body = vec![b'x'; self.options.response_bytes];
         self.response(200, id, &body, "")
     }
 
+    /// Returns how long the next run takes.
+    fn next_work(&self) -> Duration {
+        let count = self.run_count.fetch_add(1, Ordering::SeqCst) + 1;
+        let every = self.options.long_every;
+        if every > 0 && count.is_multiple_of(every) {
+            return self.options.long_work;
+        }
+        self.options.work
+    }
+
     fn response(&self, status: u16, id: &str, body: &[u8], extra: &str) -> Vec<u8> {
         let load = format!(
             "{},{},{}",
