--- a/review/stand-ins/src/cases/late_stops.rs
+++ b/review/stand-ins/src/cases/late_stops.rs
@@ -47,7 +47,7 @@
 const DEADLINE_MS: u32 = 3_000;
 
 const CLIENTS_PER_MACHINE: usize = 15;
-const ROUNDS: usize = 5;
+const ROUNDS: usize = 7;
 
 /// `grace_s`, and the time after SIGTERM up to which a request isn't counted if its upstream is at work to the last.
 const GRACE: Duration = Duration::from_secs(6);
