Log the requests that a planned stop cuts off

Cause: what a stop had not answered when the process ended got the line client-left, if any: its guard couldn't tell the end of the process from that of the connection, and nothing waited for the last lines. So the log could not tell which requests a stop cuts off, nor whether they had been taken for calls of the target.

Ruled out: a count in the line of the stop's end, which names no request.

Change: the guard logs cut-off once the stop has ended, with the time left and whether the request counted as a call; the process waits up to 0.1 s for its last lines, as it did before the end of the stop. explain knows the event.

--- a/crates/command/src/explain.rs
+++ b/crates/command/src/explain.rs
@@ -88,6 +88,9 @@
         ("client-left", _) => {
             "The client left before it was answered; what could be cancelled was.".into()
         }
+        ("cut-off", _) => {
+            "The daemon ended its planned stop before it was answered; it may have run.".into()
+        }
         (_, "attempts-used-up" | "no-budget") => format!(
             "The targets of {service} that got it turned it away, and the attempts or the retry \
              budget were used up."
--- a/crates/command/src/log_line.rs
+++ b/crates/command/src/log_line.rs
@@ -35,7 +35,10 @@
 
     /// Returns whether the line records how the request ended for its client.
     pub(crate) fn ends_request(&self) -> bool {
-        matches!(self.event(), "client-left" | "refused" | "target-error")
+        matches!(
+            self.event(),
+            "client-left" | "cut-off" | "refused" | "target-error"
+        )
     }
 
     pub(crate) fn text(&self, key: &str) -> Option<&str> {
--- a/crates/command/tests/explain.rs
+++ b/crates/command/tests/explain.rs
@@ -97,3 +97,11 @@
         "{explanation}"
     );
 }
+
+#[test]
+fn a_request_that_a_planned_stop_cuts_off_is_reported() {
+    let explanation = explain(&[
+        r#"{"at_ms":5,"event":"cut-off","id":"abc","service":"s","after_us":700000,"is_call":false}"#,
+    ]);
+    assert!(explanation.contains("may have run"), "{explanation}");
+}
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -29,6 +29,7 @@
     reply::Reply,
     request_scope::contain_request,
     run_outcome::RunOutcome,
+    stop_phase::StopPhase,
     target_headers::says_it_leaves,
     units::micros,
 };
@@ -97,7 +98,7 @@
             return self.refuse(app, &attempts, &failure);
         }
         let response_deadline = self.deadline + RESPONSE_GRACE;
-        let unanswered = UnansweredGuard(self);
+        let unanswered = UnansweredGuard { app, call: self };
         let result = timeout_at(
             response_deadline.into(),
             self.attempt_targets(app, &mut attempts),
@@ -663,8 +664,12 @@
     }
 }
 
-/// Logs on drop that a client closed its connection before its request was answered, unless it was disarmed.
-struct UnansweredGuard<'a>(&'a EntryCall);
+/// Logs on drop that a request gets no response, since its client closed the connection or the process ends, unless it
+/// was disarmed.
+struct UnansweredGuard<'a> {
+    app: &'a App,
+    call: &'a EntryCall,
+}
 
 impl UnansweredGuard<'_> {
     fn disarm(self) {
@@ -677,7 +682,14 @@
         if std::thread::panicking() {
             return;
         }
-        let call = self.0;
-        log::info!(event = "client-left", id = call.forwarded.id_text(), service = &*call.service, after_us = micros(call.arrived_at.elapsed()); "");
+        let call = self.call;
+        let id = call.forwarded.id_text();
+        let after_us = micros(call.arrived_at.elapsed());
+        if self.app.stop_phase.get() == StopPhase::Stopped {
+            let left = call.deadline.saturating_duration_since(Instant::now());
+            log::warn!(event = "cut-off", id = id, service = &*call.service, after_us = after_us, left_us = micros(left), is_call = call.is_target_call; "");
+        } else {
+            log::info!(event = "client-left", id = id, service = &*call.service, after_us = after_us; "");
+        }
     }
 }
--- a/crates/edge/src/line_log.rs
+++ b/crates/edge/src/line_log.rs
@@ -27,8 +27,8 @@
 /// many refused requests don't hide lines about the process itself.
 const MAX_EXTRA_PROCESS_LINES_PER_S: u64 = 20;
 
-/// The longest wait of a process that ends by a panic for its last lines, since nobody may be reading them.
-const MAX_WRITE_WAIT: Duration = Duration::from_secs(2);
+/// The longest wait of a process that ends by a panic for its last lines.
+pub(crate) const MAX_PANIC_FLUSH_TIME: Duration = Duration::from_secs(2);
 
 /// The interval between checks for lines that wait to be written.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -86,9 +86,9 @@
     WAITING_LINE_COUNT.load(Ordering::Relaxed) > 0
 }
 
-/// Waits until no line waits to be written, for a limited time.
-pub(crate) fn wait_until_written() {
-    let deadline = Instant::now() + MAX_WRITE_WAIT;
+/// Waits until no line waits to be written, for `max_wait` at most, since nobody may be reading them.
+pub(crate) fn wait_until_written(max_wait: Duration) {
+    let deadline = Instant::now() + max_wait;
     while has_waiting() && Instant::now() < deadline {
         thread::sleep(WRITE_CHECK_INTERVAL);
     }
--- a/crates/edge/src/panic_hook.rs
+++ b/crates/edge/src/panic_hook.rs
@@ -11,7 +11,7 @@
 use log::{Level, Record, kv::Value};
 
 use crate::{
-    line_log::{log_with_backtrace, wait_until_written},
+    line_log::{MAX_PANIC_FLUSH_TIME, log_with_backtrace, wait_until_written},
     request_scope::current_request_id,
 };
 
@@ -67,7 +67,7 @@
         .build();
     log_with_backtrace(&record);
     if !can_unwind(info) {
-        wait_until_written();
+        wait_until_written(MAX_PANIC_FLUSH_TIME);
     }
 }
 
--- a/crates/edge/src/run_site.rs
+++ b/crates/edge/src/run_site.rs
@@ -109,14 +109,16 @@
     LocalSet::new().block_on(&runtime, serve(settings, path.to_owned()))
 }
 
-/// Waits on drop until the line of a panic that ends the daemon is written.
+/// Waits on drop until the lines about a panic that ends the daemon, or about requests that its end cuts off, are written.
 struct LastLinesGuard;
 
 impl Drop for LastLinesGuard {
     fn drop(&mut self) {
-        if std::thread::panicking() {
-            line_log::wait_until_written();
-        }
+        line_log::wait_until_written(if std::thread::panicking() {
+            line_log::MAX_PANIC_FLUSH_TIME
+        } else {
+            LOG_FLUSH_TIMEOUT
+        });
     }
 }
 
@@ -374,4 +376,5 @@
     {
         sleep(LOG_FLUSH_CHECK_INTERVAL).await;
     }
+    app.stop_phase.set(StopPhase::Stopped);
 }
--- a/crates/edge/src/stop_phase.rs
+++ b/crates/edge/src/stop_phase.rs
@@ -8,4 +8,6 @@
     Stopping,
     /// The gate is reported as not serving, and peers' connections are closed after each response too.
     Leaving,
+    /// The process ends; requests without a response are cut off.
+    Stopped,
 }
