Don't tell clients from the target by their address in a planned stop

Cause: a request from the instance's own address counted as a call of the target, and a call could start if it was expected to end in time, by twice the mean run time. Clients stand on the same instances, so without accounts that held for each of them.

Ruled out: a gate that stops, since the targets that ran them stand beside daemons that don't; kept or pipelined connections, since each request was begun at its arrival; the deadline.

Change: who sent a request doesn't count in a stop. At-most-once requests start late only if they are almost sure to be answered. Idempotent ones, which calls mostly are, need only be expected to, but their targets get a deadline before the end of the stop, so that a long run ends with the target's answer and can be repeated. Ruled out: a longer stop, which moves the fault; the strict limit for all, with which a_run_that_goes_on_in_a_stop_is_answered_and_may_make_calls failed (a call at 4.2 s was refused); a better guess, since what is lost by a wrong one is a request that ran.

--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -29,6 +29,7 @@
     reply::Reply,
     request_scope::contain_request,
     run_outcome::RunOutcome,
+    stop_bounds::StopBounds,
     stop_phase::StopPhase,
     target_headers::says_it_leaves,
     units::micros,
@@ -543,17 +544,17 @@
         attempts: &mut Attempts,
         address: Option<SocketAddr>,
     ) -> Result<(), Failure> {
-        let latest_start = self.latest_start_in_stop(app, address);
-        if latest_start.is_none_or(|latest| Instant::now() <= latest) {
+        let bounds = self.stop_bounds(app, address);
+        if bounds.is_none_or(|bounds| Instant::now() <= bounds.latest_start) {
             return Ok(());
         }
         attempts.record_wait(RETRY_ELSEWHERE_AFTER);
         Err(attempts.give_up(RefusalReason::Stopping))
     }
 
-    /// Returns until when the request may start at a daemon's target, or at any, in a planned stop of this daemon; `None`
-    /// outside of one.
-    fn latest_start_in_stop(&self, app: &Rc<App>, address: Option<SocketAddr>) -> Option<Instant> {
+    /// Returns when the request may run at a daemon's target, or at any, in a planned stop of this daemon; `None` outside of
+    /// one.
+    fn stop_bounds(&self, app: &Rc<App>, address: Option<SocketAddr>) -> Option<StopBounds> {
         let times = app.stop_times.get()?;
         let assumed_run_time = self.route.assumed_run_time();
         let mean_run_time = app.core.with(|node, _| {
@@ -562,17 +563,20 @@
             let mean_run_time = peer.mean_run_time(self.route.key);
             mean_run_time.filter(|_| !is_streamed)
         });
-        Some(if self.is_target_call {
-            times.latest_call_start(self.deadline, mean_run_time.unwrap_or(assumed_run_time))
-        } else {
-            times.latest_start(self.deadline, mean_run_time, assumed_run_time)
-        })
+        Some(times.bounds(
+            self.deadline,
+            self.route.retry_safety,
+            mean_run_time,
+            assumed_run_time,
+        ))
     }
 
     /// Builds the call to the gate of the chosen target.
     fn gate_call(&self, app: &Rc<App>, attempts: &Attempts, choice: &TargetChoice) -> GateCall {
         let now = Instant::now();
-        let remaining = self.deadline.saturating_duration_since(now);
+        let stop_bounds = self.stop_bounds(app, Some(choice.address));
+        let deadline = stop_bounds.map_or(self.deadline, |bounds| bounds.deadline);
+        let remaining = deadline.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.arrived_at);
         let assumed_run_time = self.route.assumed_run_time();
         let (expected_run_time, known_limit) = app.core.with(|node, _| {
@@ -587,8 +591,8 @@
             route.goal.target_latency = remaining.mul_f64(CALL_WAIT_SHARE);
         }
         let mut route_max_wait = route.goal.max_wait(remaining, expected_run_time);
-        if let Some(latest_start) = self.latest_start_in_stop(app, Some(choice.address)) {
-            route_max_wait = route_max_wait.min(latest_start.saturating_duration_since(now));
+        if let Some(bounds) = stop_bounds {
+            route_max_wait = route_max_wait.min(bounds.latest_start.saturating_duration_since(now));
         }
         let max_wait = match choice.max_wait {
             Some(choice_max_wait) if attempts.not_run_count < MAX_NOT_RUN_ATTEMPTS => {
@@ -598,7 +602,7 @@
         };
         GateCall {
             account: self.account.as_ref().map(ClientAccount::for_hop),
-            deadline: self.deadline,
+            deadline,
             forwarded: self.forwarded.clone(),
             has_unpaid_calls: attempts.has_unpaid_calls,
             known_limit,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -113,6 +113,7 @@
 mod state_dump;
 mod status_rows;
 mod status_write;
+mod stop_bounds;
 mod stop_phase;
 mod stop_times;
 mod store_answer;
--- a/crates/edge/src/stop_times.rs
+++ b/crates/edge/src/stop_times.rs
@@ -1,5 +1,9 @@
 use std::time::{Duration, Instant};
 
+use medlarspool_mesh::RetrySafety;
+
+use crate::stop_bounds::StopBounds;
+
 /// The part of the time for a planned stop that is reserved for the exit of the process.
 const EXIT_TIME: Duration = Duration::from_millis(800);
 
@@ -62,13 +66,32 @@
         self.started_at + almost_sure.map_or(expected, |it| it.max(expected))
     }
 
-    /// Returns until when a call of the own target may start. The run that makes it goes on and fails without it, so the
-    /// call need only be expected to end in time.
-    pub(crate) fn latest_call_start(&self, deadline: Instant, run_time: Duration) -> Instant {
-        if self.is_answered_in_time(deadline) {
-            return deadline;
+    /// Returns when a request may run that this daemon received.
+    ///
+    /// An idempotent request of a route whose runs were measured need only be expected to end in time. Its target gets a
+    /// deadline before the end of the stop, so that a longer run ends with the target's answer, too, and can be repeated.
+    ///
+    /// Who sent the request doesn't count. A call of the own target is worth more than its refusal, since the run that
+    /// makes it goes on and fails without it; but it can't be told from the request of a client on the instance.
+    pub(crate) fn bounds(
+        &self,
+        deadline: Instant,
+        retry_safety: RetrySafety,
+        mean_run_time: Option<Duration>,
+        assumed_run_time: Duration,
+    ) -> StopBounds {
+        match (retry_safety, mean_run_time) {
+            (RetrySafety::Idempotent, Some(run_time)) if !self.is_answered_in_time(deadline) => {
+                StopBounds {
+                    deadline: self.started_at + self.max_time.saturating_sub(ANSWER_MARGIN),
+                    latest_start: self.started_at + self.start_time(run_time, USUAL_RUN_FACTOR),
+                }
+            }
+            _ => StopBounds {
+                deadline,
+                latest_start: self.latest_start(deadline, mean_run_time, assumed_run_time),
+            },
         }
-        self.started_at + self.start_time(run_time, USUAL_RUN_FACTOR)
     }
 
     fn is_answered_in_time(&self, deadline: Instant) -> bool {
