Refuse addresses and start times that no process has

Callers of a target would get 503 or 421 for good: a heartbeat of another writer whose start is too large a number (u64::MAX, or microseconds in place of milliseconds) was acknowledged and displaced the target, whose own heartbeats then counted as those of an earlier incarnation. A row or report with such a start did the same to a daemon, and one with port 0 added a daemon that can't be reached.

Cause: every number that fits the type was taken.

A heartbeat for a service that isn't configured has a line, too.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -19,9 +19,16 @@
         None => return Reply::status(404),
     };
     let is_acknowledged = match announcement {
-        Ok(announcement) => app
-            .core
-            .with(|node, cx| node.handle_announcement(cx, &announcement)),
+        Ok(announcement) => {
+            let is_known = app
+                .core
+                .with(|node, cx| node.handle_announcement(cx, &announcement));
+            if !is_known {
+                let service = announcement.service.as_deref().unwrap_or_default();
+                log::warn!(event = "announcement-unknown", target = &*announcement.id, service = service; "");
+            }
+            is_known
+        }
         Err(error) => {
             log::warn!(event = "announcement-invalid", error = error.to_string().as_str(); "");
             false
--- a/crates/hop/src/report.rs
+++ b/crates/hop/src/report.rs
@@ -171,7 +171,7 @@
                 can_relay_config: message.relay != CANNOT_RELAY,
                 availability_zone: message.availability_zone.as_str().into(),
                 config_version: message.config_version,
-                incarnation: message.incarnation,
+                incarnation: check_start(message.incarnation)?,
                 load: TargetLoad::from_numbers(message.load.iter().copied()),
                 relays_config: message.relay == RELAYS,
                 report_number: message.report_number,
@@ -183,16 +183,28 @@
                 .as_ref()
                 .map(decode_target)
                 .transpose()?,
-            receiver_incarnation: message.receiver_incarnation,
+            receiver_incarnation: check_start(message.receiver_incarnation)?,
             sent: SendStamp::from_numbers(message.sent_by_clock, message.sent_at_us),
             store_era: message.store_era_and_one.checked_sub(1).map(StoreEra),
         })
     }
 }
 
+/// Parses the address of a daemon; nothing can be reached at port 0 or at an unspecified address.
 fn parse_address(text: &str) -> Result<SocketAddr, ReportError> {
-    text.parse()
-        .map_err(|_| ReportError::Address(text.to_owned()))
+    let address: Option<SocketAddr> = text.parse().ok();
+    address
+        .filter(|address| address.port() != 0 && !address.ip().is_unspecified())
+        .ok_or_else(|| ReportError::Address(text.to_owned()))
+}
+
+/// Returns a start in Unix milliseconds, unless it is impossible.
+fn check_start(start_ms: u64) -> Result<u64, ReportError> {
+    if start_ms <= TargetRecord::MAX_START_MS {
+        Ok(start_ms)
+    } else {
+        Err(ReportError::Start(start_ms))
+    }
 }
 
 fn encode_target(target: &TargetRecord) -> TargetMessage {
@@ -213,7 +225,7 @@
 
 fn decode_target(message: &TargetMessage) -> Result<TargetRecord, ReportError> {
     Ok(TargetRecord {
-        born_ms: message.born_ms,
+        born_ms: check_start(message.born_ms)?,
         id: message.id.as_str().into(),
         sequence: message.sequence,
         service: message.service.as_str().into(),
--- a/crates/mesh/src/target_record.rs
+++ b/crates/mesh/src/target_record.rs
@@ -24,6 +24,10 @@
 }
 
 impl TargetRecord {
+    /// The latest start that a process can have in Unix milliseconds: the end of the year 9999. A later one must be a
+    /// mistake of its writer, and would make all true ones count as earlier.
+    pub const MAX_START_MS: u64 = 253_402_300_799_999;
+
     /// Returns whether two records are of one incarnation of a target, as far as their start times are known.
     #[must_use]
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
