Read only rows whose key is the daemon's address, and log others once

Cause: the row of a daemon was taken from any key, so that what another writer left under a key of its own added a daemon or displaced the row of one. A row that can't be read was logged at each read: every three seconds by a daemon that knows no other one that is alive.

Ruled out: earlier releases, which have always written their rows under their addresses.

Change: a row under another key is invalid; an invalid row is logged once for each of its versions.

Result: odd_rows_hide_no_daemon failed with the daemon of port 30002, whose row stands under odd keys only, and passes.

--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -1,10 +1,11 @@
 use std::{
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use medlarspool_adapter::{StoreCall, StoreWrite};
-use medlarspool_hop::Report;
+use medlarspool_adapter::{StoreCall, StoreRow, StoreWrite};
+use medlarspool_hop::{Report, ReportError};
 use tokio::time::{sleep, timeout};
 
 use crate::{app::App, contain::contain, full_report_kind::FullReportKind, store_client::backoff};
@@ -111,9 +112,10 @@
 pub(crate) async fn poll_daemon_rows(app: Rc<App>) {
     let started_at = Instant::now();
     let mut wait = SECOND_READ_AFTER;
+    let mut invalid_rows = HashMap::new();
     loop {
         let mut failures = 0;
-        while !read_all_rows(&app).await {
+        while !read_all_rows(&app, &mut invalid_rows).await {
             sleep(backoff(failures)).await;
             failures += 1;
         }
@@ -138,7 +140,10 @@
 }
 
 /// Reads all rows page by page; returns whether the store answered.
-async fn read_all_rows(app: &Rc<App>) -> bool {
+///
+/// `invalid_rows` has the rows that can't be used and were logged, with their versions, so that a row is logged once
+/// and not at each read.
+async fn read_all_rows(app: &Rc<App>, invalid_rows: &mut HashMap<String, u64>) -> bool {
     let mut from = String::new();
     loop {
         let call = StoreCall::Get {
@@ -149,13 +154,17 @@
             return false;
         };
         for row in &rows.rows {
-            match Report::decode(&row.value) {
+            match decode_row(row) {
                 Ok(report) => {
+                    invalid_rows.remove(&row.key);
                     // A row that causes a panic must not hide the others.
                     contain(|| apply_row(app, report));
                 }
                 Err(error) => {
-                    log::warn!(event = "row-invalid", key = row.key.as_str(), error = error.to_string().as_str(); "");
+                    let logged = invalid_rows.insert(row.key.clone(), row.version);
+                    if logged != Some(row.version) {
+                        log::warn!(event = "row-invalid", key = row.key.as_str(), error = error.to_string().as_str(); "");
+                    }
                 }
             }
         }
@@ -167,6 +176,16 @@
     }
 }
 
+/// Decodes a row, whose key has to be the address of the daemon that it is about.
+fn decode_row(row: &StoreRow) -> Result<Report, ReportError> {
+    let report = Report::decode(&row.value)?;
+    if row.key == report.sender.address.to_string() {
+        Ok(report)
+    } else {
+        Err(ReportError::Address(row.key.clone()))
+    }
+}
+
 /// Applies a row: restores the own target and raises the incarnation from this daemon's own row, or adds another
 /// daemon that is not known yet and asks it for a full report.
 fn apply_row(app: &Rc<App>, report: Report) {
