Encode the key after which further rows of a table are read

Cause: the last key of a page was put into the query as it is. One with `&`, `#`, `%`, a space or a line break, which any writer may leave, named another position or made the call invalid: the page was read for ever, or the store refused the call, and the rows behind it stayed hidden. Ruled out: the read itself, which passes pages that end with addresses.

--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -146,7 +146,7 @@
 ) -> StoreCall {
     match known_position {
         None => StoreCall::Get {
-            from: String::new(),
+            after_key: None,
             table: CONFIG_TABLE,
         },
         Some(position) => StoreCall::Feed {
--- a/crates/edge/src/confirmation_sync.rs
+++ b/crates/edge/src/confirmation_sync.rs
@@ -88,7 +88,7 @@
             wait: Duration::ZERO,
         },
         None => StoreCall::Get {
-            from: String::new(),
+            after_key: None,
             table: CONFIG_TABLE,
         },
     };
--- a/crates/edge/src/lease_rows.rs
+++ b/crates/edge/src/lease_rows.rs
@@ -54,12 +54,12 @@
 
 /// Reads the rows of all partitions.
 async fn read_rows(app: &Rc<App>) -> Result<LeaseResult, StoreError> {
-    let mut from = String::new();
+    let mut after_key = None;
     let mut rows: Vec<StoreRow> = Vec::new();
     let mut first_era: Option<StoreEra> = None;
     loop {
         let call = StoreCall::Get {
-            from,
+            after_key,
             table: QUOTA_TABLE,
         };
         let answer = app.store.call(&app.metrics, &call).await?;
@@ -71,8 +71,7 @@
         let has_more = answer.has_more && !answer.rows.is_empty();
         rows.extend(answer.rows);
         match rows.last() {
-            // The smallest key after the last one in byte order: the last one and a zero byte.
-            Some(last) if has_more => from = format!("{}%00", last.key),
+            Some(last) if has_more => after_key = Some(last.key.clone()),
             _ => {
                 let stored: Vec<StoredQuotaLease> = rows.iter().filter_map(stored_lease).collect();
                 for lease in stored.iter().filter(|lease| lease.row.is_none()) {
--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -144,10 +144,10 @@
 /// `invalid_rows` has the rows that can't be used and were logged, with their versions, so that a row is logged once
 /// and not at each read.
 async fn read_all_rows(app: &Rc<App>, invalid_rows: &mut HashMap<String, u64>) -> bool {
-    let mut from = String::new();
+    let mut after_key = None;
     loop {
         let call = StoreCall::Get {
-            from: from.clone(),
+            after_key,
             table: PEERS_TABLE,
         };
         let Ok(rows) = app.store.call(&app.metrics, &call).await else {
@@ -169,8 +169,7 @@
             }
         }
         match rows.rows.last() {
-            // The smallest key after the last one in byte order: the last one and a zero byte.
-            Some(last) if rows.has_more => from = format!("{}%00", last.key),
+            Some(last) if rows.has_more => after_key = Some(last.key.clone()),
             _ => return true,
         }
     }
--- a/crates/edge/src/status_rows.rs
+++ b/crates/edge/src/status_rows.rs
@@ -35,19 +35,18 @@
 
 /// Reads all status rows and applies them; returns their versions, or none if the store didn't answer.
 async fn read_rows(app: &Rc<App>) -> Option<RowVersions> {
-    let mut from = String::new();
+    let mut after_key = None;
     let mut rows: Vec<StoreRow> = Vec::new();
     let era = loop {
         let call = StoreCall::Get {
-            from,
+            after_key,
             table: STATUS_TABLE,
         };
         let answer = app.store.call(&app.metrics, &call).await.ok()?;
         let has_more = answer.has_more && !answer.rows.is_empty();
         rows.extend(answer.rows);
         match rows.last() {
-            // The smallest key after the last one in byte order: the last one and a zero byte.
-            Some(last) if has_more => from = format!("{}%00", last.key),
+            Some(last) if has_more => after_key = Some(last.key.clone()),
             _ => break answer.position.era,
         }
     };
