Count as calls only what a run at the target may have sent

Callers saw 503 with calls-fail: requests of a route whose runs fail in part were refused because clients beside its target got failures from another service.

Cause: as in planned stops, every request from the instance's address counted as a call of the target where there are no accounts, and so did those to public routes. The failures of clients' requests were held against the routes that ran beside them, retries of these routes were charged for calls that they don't make, and real calls had no preference at gates, since all requests were calls.

Ruled out: equal deadlines as proof of a call, which two requests of a client have, too; refusing requests without a key on this evidence, since a call that is read late seems to be a client's.

Change: a request from the own instance may be a call only if a run could have made it: calls expire with their run. Calls are attributed to such runs only.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -29,17 +29,21 @@
 /// Finds the route of a client's request, sets its deadline and forwards it to a target.
 async fn answer_client(app: &Rc<App>, incoming: IncomingRequest) -> Reply {
     let arrived_at = incoming.arrived_at;
-    let is_from_own_instance = incoming.client_ip == app.settings.target_address.ip();
     let Some(host) = host(&incoming) else {
         return Reply::status(400);
     };
     let request_target = incoming.head.request_target.clone();
     let path = path(&request_target);
+    let requested_timeout = incoming.head.headers.text(headers::DEADLINE_MS);
+    let requested_timeout = requested_timeout
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis);
+    let requested_deadline = requested_timeout.and_then(|timeout| arrived_at.checked_add(timeout));
     let lookup = app.core.with(|node, _| {
         let config = node.config.clone().ok_or(RefusalReason::NoConfig)?;
         let route = config.route(&host, path).ok_or(RefusalReason::NoRoute)?;
-        let caller =
-            node.authenticate(&config, route, is_from_own_instance, &incoming.head.headers)?;
+        let origin = node.origin(incoming.client_ip, requested_deadline);
+        let caller = node.authenticate(&config, route, origin, &incoming.head.headers)?;
         let route = route.clone();
         let service = node.next_service(&route);
         Ok((config, route, caller, service))
@@ -65,13 +69,8 @@
             return failure.reply(id.as_ref());
         }
     };
-    let requested_timeout = incoming
-        .head
-        .headers
-        .text(headers::DEADLINE_MS)
-        .and_then(|text| text.parse().ok())
-        .map_or(route.timeout, Duration::from_millis);
-    let deadline = arrived_at + requested_timeout.min(route.timeout);
+    let timeout = requested_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let deadline = arrived_at + timeout;
     let rank = match &caller {
         Caller::Client(Some(client)) => client.account.rank(route.rank),
         _ if config.account_count() == 0 => route.rank,
--- a/crates/edge/src/entry_call.rs
+++ b/crates/edge/src/entry_call.rs
@@ -67,7 +67,8 @@
     /// Whether a run waits for the request, so that it may wait at a gate for [`CALL_WAIT_SHARE`] of its time, and not
     /// only as long as it can be in time.
     pub(crate) has_waiting_run: bool,
-    /// Whether the target beside this daemon sent the request while it runs another one.
+    /// Whether the target beside this daemon may have sent the request while it runs another one. No promise to the sender
+    /// may depend on it.
     pub(crate) is_target_call: bool,
     /// The rank at the gates, in which the account's priority goes before the route's rank.
     pub(crate) rank: u32,
@@ -90,7 +91,7 @@
         app.core.with(|node, cx| {
             node.count_request(cx.now(), &self.service);
             if self.is_target_call {
-                node.count_target_call(cx.now(), &self.service);
+                node.count_target_call(cx.now(), &self.service, self.deadline);
             }
         });
         let mut attempts = Attempts::default();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -72,6 +72,7 @@
 mod node_rollouts;
 mod node_timer;
 mod node_timers;
+mod origin;
 mod outgoing_request;
 mod own_exchange;
 mod panic_backtrace;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -321,12 +321,13 @@
     ///
     /// A target repeats its calls when it runs a retry. So the budget of the service is charged with the share of
     /// retries with unpaid calls among the target's runs.
-    pub(crate) fn count_target_call(&mut self, now: Instant, service: &Rc<str>) {
+    pub(crate) fn count_target_call(&mut self, now: Instant, service: &Rc<str>, deadline: Instant) {
         let running = self.running.values();
+        let running = running.filter(|work| work.may_make_call(deadline));
         let unpaid_count = running.clone().filter(|work| work.has_unpaid_calls).count();
         if unpaid_count > 0 {
             #[allow(clippy::cast_precision_loss)]
-            let unpaid_share = unpaid_count as f64 / self.running.len() as f64;
+            let unpaid_share = unpaid_count as f64 / running.clone().count() as f64;
             self.retry_budget.charge(now, service, unpaid_share);
         }
         self.called_services
--- a/crates/edge/src/node_accounts.rs
+++ b/crates/edge/src/node_accounts.rs
@@ -1,10 +1,13 @@
-use std::rc::Rc;
+use std::{net::IpAddr, rc::Rc, time::Instant};
 
 use medlarspool_adapter::{decode_api_key, headers};
 use medlarspool_hop::{HopAccount, RefusalReason};
 use medlarspool_mesh::{MeshConfig, Route};
 
-use crate::{caller::Caller, client_account::ClientAccount, header_list::HeaderList, node::Node};
+use crate::{
+    caller::Caller, client_account::ClientAccount, header_list::HeaderList, node::Node,
+    origin::Origin, running_work::RunningWork,
+};
 
 const ACCOUNT_HEADERS: [&str; 2] = [headers::ACCOUNT, headers::AUTHORIZATION];
 
@@ -22,11 +25,28 @@
 }
 
 impl Node {
-    /// Returns who sent a request, by the key in its headers and by whether it came from the own instance.
+    /// Returns who may have sent a request that came from an address and has a deadline, if it names one.
     ///
-    /// Clients may share the instance, and so its address, with the target. Targets' calls have no key, so where there
-    /// are accounts, a request with a key is a client's. All other requests from the own instance count as calls, also
-    /// those of clients to public routes: a call that is taken for a client's waits behind the requests that wait for it.
+    /// Clients may share the instance, and so its address, with the target. But a call exists only while a run makes it,
+    /// and expires with it at the latest.
+    pub(crate) fn origin(&self, client_ip: IpAddr, deadline: Option<Instant>) -> Origin {
+        if client_ip != self.settings.target_address.ip() {
+            return Origin::OtherInstance;
+        }
+        let may_make_it =
+            |work: &RunningWork| deadline.is_none_or(|deadline| work.may_make_call(deadline));
+        if self.running.values().any(may_make_it) {
+            Origin::OwnInstance
+        } else {
+            Origin::OwnClient
+        }
+    }
+
+    /// Returns who sent a request, by its origin and the key in its headers.
+    ///
+    /// Targets' calls have no key, so where there are accounts, a request with a key is a client's. Other requests that
+    /// may be calls count as such: a call that is taken for a client's waits behind the requests that wait for it. No
+    /// request from the own instance is refused for want of a key, since a call that was read late seems to be a client's.
     ///
     /// # Errors
     ///
@@ -36,15 +56,18 @@
         &self,
         config: &MeshConfig,
         route: &Route,
-        is_from_own_instance: bool,
+        origin: Origin,
         received: &HeaderList,
     ) -> Result<Caller, RefusalReason> {
         let has_key = received.get(headers::AUTHORIZATION).is_some();
         let has_accounts = config.account_count() > 0;
-        if is_from_own_instance && !(has_accounts && has_key) {
-            return Ok(Caller::Target);
+        let needs_key = has_accounts && !route.is_public;
+        match origin {
+            Origin::OwnClient if needs_key && !has_key => return Ok(Caller::Target),
+            Origin::OwnInstance if !(has_accounts && has_key) => return Ok(Caller::Target),
+            Origin::OtherInstance | Origin::OwnClient | Origin::OwnInstance => {}
         }
-        if !has_accounts || route.is_public {
+        if !needs_key {
             return Ok(Caller::Client(None));
         }
         let mut values = received.get_all(headers::AUTHORIZATION);
--- a/crates/edge/src/running_work.rs
+++ b/crates/edge/src/running_work.rs
@@ -1,10 +1,16 @@
+use std::time::{Duration, Instant};
+
 use medlarspool_mesh::RouteKey;
 
 use crate::gate_call::GateCall;
 
-/// What is recorded of a request that runs at the target or waits for a slot, for its retry budget and crashes.
+/// How much later than the deadline of its run that of a call may seem to be, since its time counts from when it was read.
+const MAX_READ_DELAY: Duration = Duration::from_millis(100);
+
+/// What is recorded of a request that runs at the target or waits for a slot, for its retry budget, calls and crashes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunningWork {
+    pub(crate) deadline: Instant,
     pub(crate) fingerprint: u64,
     /// Whether its calls count as retries that were not paid for.
     pub(crate) has_unpaid_calls: bool,
@@ -14,9 +20,15 @@
 impl RunningWork {
     pub(crate) fn of(call: &GateCall) -> Self {
         Self {
+            deadline: call.deadline,
             fingerprint: call.forwarded.fingerprint,
             has_unpaid_calls: call.has_unpaid_calls,
             route: call.route.key,
         }
     }
+
+    /// Returns whether the run may make a call with this deadline: calls expire with their run at the latest.
+    pub(crate) fn may_make_call(&self, call_deadline: Instant) -> bool {
+        call_deadline <= self.deadline + MAX_READ_DELAY
+    }
 }
