Run an upload only with its whole body

Cause: an at-most-once run goes on when its connection has ended. The end of the channel that brings the rest of a long body counted as the end of the body, so that the last chunk was written, and the connection to the target was used again. Ruled out: idempotent requests, whose runs end with their connections.

Change: an empty piece follows the last one of a body. A channel that ends without it is an error, which ends the exchange and its connection; that doesn't count as a failure of the target.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -188,7 +188,7 @@
     let run_time = started_at.elapsed();
     let (succeeded, failed) = match &outcome {
         RunOutcome::Answered(response) => (response.status < 500, response.status >= 500),
-        RunOutcome::Lost(RefusalReason::Deadline)
+        RunOutcome::Lost(RefusalReason::Deadline | RefusalReason::HopLost)
         | RunOutcome::NotRun(
             RefusalReason::NoConfig | RefusalReason::Unconfirmed | RefusalReason::UnknownKey,
         ) => (false, false),
--- a/crates/edge/src/http_error.rs
+++ b/crates/edge/src/http_error.rs
@@ -5,10 +5,12 @@
 pub(crate) enum HttpError {
     /// the body is longer than allowed
     BodyTooLong,
-    /// the message can't be read unambiguously
-    Malformed,
     /// the header is longer than allowed
     HeaderTooLong,
+    /// the connection ended before the message did
+    Incomplete,
+    /// the message can't be read unambiguously
+    Malformed,
     /// the message did not come in time
     TooSlow,
 }
@@ -19,7 +21,7 @@
         match self {
             Self::BodyTooLong => 413,
             Self::HeaderTooLong => 431,
-            Self::Malformed => 400,
+            Self::Incomplete | Self::Malformed => 400,
             Self::TooSlow => 408,
         }
     }
--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -301,6 +301,7 @@
                             }
                         }
                         Decoded::End => {
+                            let _ = pieces.try_send(Ok(Bytes::new()));
                             self.reading = Reading::Head { started_at: None };
                             return Ok(true);
                         }
--- a/crates/edge/src/target_run.rs
+++ b/crates/edge/src/target_run.rs
@@ -92,10 +92,14 @@
         }
         Ok(Err(error)) => {
             log::info!(event = "run-lost", id = forwarded.id_text(), error = error.to_string().as_str(); "");
-            if error == ExchangeError::ConnectionLost {
-                record_if_crashed(app, forwarded.fingerprint).await;
+            match error {
+                ExchangeError::ConnectionLost => {
+                    record_if_crashed(app, forwarded.fingerprint).await;
+                    RunOutcome::Lost(RefusalReason::TargetFailed)
+                }
+                ExchangeError::RequestBodyAborted => RunOutcome::Lost(RefusalReason::HopLost),
+                _ => RunOutcome::Lost(RefusalReason::TargetFailed),
             }
-            RunOutcome::Lost(RefusalReason::TargetFailed)
         }
     }
 }
