Read the rest of an upload whose target has answered

Cause: once the handler had replied, nobody took the pieces of the body. The connection was closed with unread bytes as soon as the answer was in the send buffer, so that the kernel reset it and discarded what was left of the answer; the same on hops.

Ruled out: lingering after the answer, which needs a limit on how long a client may read, and ends a kept connection without need.

Change: the rest of such a body is read and dropped, within the limits for bodies and idle clients, and the connection goes on with the next request.

--- a/crates/edge/src/server_connection.rs
+++ b/crates/edge/src/server_connection.rs
@@ -286,7 +286,7 @@
                 mut bytes_left,
                 pieces,
             } => {
-                while pieces.capacity() > 0 {
+                while pieces.capacity() > 0 || pieces.is_closed() {
                     match decoder.decode(&mut self.stream.buffer)? {
                         Decoded::Data(data) => {
                             let Some(remaining) = bytes_left.checked_sub(data.len() as u64) else {
@@ -295,10 +295,10 @@
                                 return Ok(false);
                             };
                             bytes_left = remaining;
-                            if pieces.try_send(Ok(data)).is_err() {
-                                // The handler replied before the body ended: nothing more is read.
-                                return Ok(false);
-                            }
+                            // An error means that the handler replied before the body ended. The rest is read and
+                            // dropped: closing a connection with unread bytes would reset it, and the client might lose
+                            // the response.
+                            let _ = pieces.try_send(Ok(data));
                         }
                         Decoded::End => {
                             let _ = pieces.try_send(Ok(Bytes::new()));
@@ -562,7 +562,7 @@
 
 /// Returns whether the handler has to read more of a long body before more is read from the connection.
 fn is_full(reading: &Reading) -> bool {
-    matches!(reading, Reading::LongBody { pieces, .. } if pieces.capacity() == 0)
+    matches!(reading, Reading::LongBody { pieces, .. } if pieces.capacity() == 0 && !pieces.is_closed())
 }
 
 async fn wait_for_capacity(reading: &Reading) {
