Compute the fingerprint of a long body over its beginning only

Cause: the fingerprint covered what had been read of the body when the request was handled. Beyond 64 KiB that differs from one attempt to the next, so that each looked like a new request. Ruled out: the crash list, which refuses the same request with a short body.

Change: the fingerprint covers the first 64 KiB of the body, also of one in chunks, since a client may send the same body either way. Long bodies that begin alike share one, for the same path and service only.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -14,6 +14,7 @@
     incoming_request::IncomingRequest,
     node_accounts::remove_account_headers,
     reply::Reply,
+    server_connection::MAX_BUFFERED_BYTES,
 };
 
 /// Serves one request of a client; a planned stop waits until the reply is written.
@@ -142,12 +143,14 @@
         app.settings.service.as_bytes().to_vec(),
     );
     let mut hasher = Xxh3Default::new();
+    // How much more of a long body was read, and whether it comes in chunks, differs each time that the request comes.
+    let body_beginning = &incoming.body[..incoming.body.len().min(MAX_BUFFERED_BYTES)];
     let parts: [&[u8]; 5] = [
         &incoming.head.method,
         host.as_bytes(),
         &incoming.head.request_target,
         app.settings.service.as_bytes(),
-        &incoming.body,
+        body_beginning,
     ];
     for part in parts {
         hasher.update(&part.len().to_le_bytes());
