--- a/crates/edge/src/peer_sync.rs
+++ b/crates/edge/src/peer_sync.rs
@@ -181,7 +181,7 @@
     if row.key == report.sender.address.to_string() {
         Ok(report)
     } else {
-        Err(ReportError::Address(row.key.clone()))
+        Err(ReportError::OtherSender(row.key.clone()))
     }
 }
 
--- a/crates/hop/src/report_error.rs
+++ b/crates/hop/src/report_error.rs
@@ -7,6 +7,8 @@
     Address(String),
     /// the report is not valid: {0}
     Encoding(String),
+    /// the report is not that of `{0}`
+    OtherSender(String),
     /// `{0}` is not the number of a rollout's state
     RolloutState(u32),
     /// `{0}` is not the start of a process in Unix milliseconds
