Give the fake peer of tests the latest start that a report may have

Cause: the fake reported the greatest 64-bit number as its incarnation, so that a real daemon at its address can't go beyond it. Ruled out: load, since it fails without any.

Change: the incarnation is the latest one that is accepted, which serves the same purpose; the tests check what they checked.

Result: a_key_is_in_no_hop_log_line_or_dump passes.

--- a/crates/daemon/tests/fake_peer/mod.rs
+++ b/crates/daemon/tests/fake_peer/mod.rs
@@ -52,9 +52,9 @@
             address: self.address,
             availability_zone: "za-1a".into(),
             config_version: 1,
-            // The latest one: a real daemon at the same address that learns of a later incarnation than its own takes
-            // the next one, and its reports would then replace these.
-            incarnation: u64::MAX,
+            // The latest one that a report may have: a real daemon at the same address that learns of a later incarnation
+            // than its own takes the next one, and its reports would then replace these.
+            incarnation: TargetRecord::MAX_START_MS,
             load: TargetLoad::default(),
             can_relay_config: false,
             relays_config: false,
