--- a/review/stand-ins-2/src/crasher.rs
+++ b/review/stand-ins-2/src/crasher.rs
@@ -28,7 +28,10 @@
 
 pub fn run(record: &str, path: &str, has_trouble: bool) -> bool {
     let record = Record::create(record);
-    let routes = [route("/history/", "safe", "historial", 6.0, 2)];
+    let routes = [
+        route("/history/", "safe", "historial", 6.0, 2),
+        route("/orders/", "unsafe", "historial", 6.0, 2),
+    ];
     let services = ["historial"; UPSTREAMS];
     let mut fleet = Fleet::start(
         &services,
@@ -48,25 +51,33 @@
     thread::sleep(Duration::from_secs(3));
     let attempts = Attempts::default();
     let stops = Arc::new(AtomicBool::new(false));
-    let usual = Habit {
+    let reading = Habit {
         deadline_ms: 6_000,
-        kind: "usual",
+        kind: "reading",
         method: "GET",
         path: Arc::new(|number| format!("/history/{number}")),
         pause: Duration::from_millis(300),
     };
+    let order = Habit {
+        kind: "order",
+        method: "POST",
+        path: Arc::new(|number| format!("/orders/{number}")),
+        ..reading.clone()
+    };
     let path = path.to_owned();
     let crashing = Habit {
         kind: "crashing",
         path: Arc::new(move |_| path.clone()),
-        ..usual.clone()
+        ..reading.clone()
     };
     let mut clients = Vec::new();
     for index in 0..UPSTREAMS {
         let address = fleet.outbound(index);
-        clients.extend(start_clients(
-            index, address, 17, &usual, &attempts, &record, &stops,
-        ));
+        for (count, habit) in [(17, &reading), (2, &order)] {
+            clients.extend(start_clients(
+                index, address, count, habit, &attempts, &record, &stops,
+            ));
+        }
     }
     thread::sleep(Duration::from_secs(5));
     let begun = Instant::now();
@@ -76,7 +87,7 @@
     let mut senders = Vec::new();
     while begun.elapsed() < Duration::from_secs(50) {
         if has_trouble && Instant::now() >= next_at {
-            next_at += Duration::from_millis(1_000);
+            next_at += Duration::from_millis(2_500);
             turn += 1;
             let (address, habit, attempts, record) = (
                 fleet.outbound(turn % UPSTREAMS),
@@ -136,15 +147,16 @@
             .filter(|it| it.kind == "crashing" && it.sent_us > third_us + CONTACT_US);
         late.filter(|it| runs_of(&it.id) > 0).count()
     });
-    let lost = attempts
-        .iter()
-        .filter(|it| it.kind == "usual" && it.status != Some(200))
-        .count();
+    let orders = attempts.iter().filter(|it| it.kind == "order");
+    let lost = orders
+        .clone()
+        .filter(|it| it.status != Some(200) && runs_of(&it.id) > 0);
     let result = format!(
         "upstreams crashed {} times by the request; {late_retries} retries, sent later than contact_s after the third crash, reached upstreams; \
-         {lost} of {} usual requests were not served; the rule {}",
+         {} of {} unsafe requests of others ran and got no success; the rule {}",
         crashes.len(),
-        attempts.iter().filter(|it| it.kind == "usual").count(),
+        lost.count(),
+        orders.count(),
         if late_retries > 3 {
             "was broken"
         } else {
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -82,10 +82,10 @@
     }
 }
 
-/// Ends the program, since the case can't run.
+/// Gives up, since the case can't run: unwinds, so that all processes are ended.
 pub fn give_up(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
-    std::process::exit(2);
+    std::panic::resume_unwind(Box::new(()))
 }
 
 impl Fleet {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,7 +7,6 @@
 mod crasher;
 mod fleet;
 mod message;
-mod poisoned;
 mod regress;
 mod store;
 mod unsigned;
@@ -16,18 +15,19 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let is_broken = match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        ["upstream", settings] => {
-            let _ = upstream::run(settings);
-            return;
-        }
+    let run = || match arguments[..] {
+        ["crasher", record, path] => crasher::run(record, path, has_trouble),
         ["regress", record] => regress::run(record, has_trouble),
         ["unsigned", record] => unsigned::run(record, has_trouble),
         ["weights", record] => weights::run(record, has_trouble),
-        ["crasher", record, path] => crasher::run(record, path, has_trouble),
-        ["poisoned", record] => poisoned::run(record, has_trouble),
         _ => fleet::give_up("unknown case"),
     };
-    std::process::exit(i32::from(is_broken));
+    if let ["upstream", settings] = arguments[..] {
+        let _ = upstream::run(settings);
+        return;
+    }
+    let status = std::panic::catch_unwind(run).map_or(2, i32::from);
+    std::process::exit(status);
 }
