--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -24,9 +24,6 @@
 /// How long the store is followed after no relay could provide a newer version.
 const RELAY_FAILURE_PERIOD: Duration = Duration::from_secs(5);
 
-/// The number of positions from which the random start of a weighted round robin is drawn.
-const CYCLE_START_POSITION_COUNT: usize = 16;
-
 /// The state of a daemon: the configuration, the other daemons, its own target and the queue of its gate.
 pub(crate) struct Node {
     /// The recent refusals of accounts' requests that this daemon, as the entry, sent to busy gates.
@@ -302,12 +299,9 @@
             0
         } else {
             let cycle = self.service_cycles.entry(route.key).or_insert_with(|| {
-                WeightedRoundRobin::advanced_by(
-                    &route.services,
-                    fastrand::usize(..CYCLE_START_POSITION_COUNT),
-                )
+                WeightedRoundRobin::starting_at_random(&route.services, fastrand::f64)
             });
-            cycle.next(&route.services)
+            cycle.choose_next()
         };
         route.services[index].service.clone()
     }
