Read deadlines and slots in every decimal form

With 2500.0 the client's deadline was dropped and the route's timeout held, so that a target would get more time than the client waits; with 8.0 slots a probe made no target usable. Nobody has reported either.

Ruled out: headers of hops, which only this program writes, as integers.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -1,4 +1,4 @@
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc};
 
 use medlarspool_adapter::headers;
 use medlarspool_hop::{RefusalReason, hop_header};
@@ -36,9 +36,7 @@
     let request_target = incoming.head.request_target.clone();
     let path = path(&request_target);
     let requested_timeout = incoming.head.headers.text(headers::DEADLINE_MS);
-    let requested_timeout = requested_timeout
-        .and_then(|text| text.parse().ok())
-        .map(Duration::from_millis);
+    let requested_timeout = requested_timeout.and_then(medlarspool_adapter::decode_deadline);
     let requested_deadline = requested_timeout.and_then(|timeout| arrived_at.checked_add(timeout));
     let lookup = app.core.with(|node, _| {
         let config = node.config.clone().ok_or(RefusalReason::NoConfig)?;
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -76,8 +76,7 @@
     let slots = response
         .headers
         .text(headers::TARGET_LOAD)
-        .and_then(|load| load.split(',').nth(2)?.trim().parse().ok())
-        .filter(|slots| *slots > 0);
+        .and_then(medlarspool_adapter::decode_slots);
     if let (200, Some(id), Some(slots)) = (response.status, id, slots) {
         app.core.with(|node, cx| {
             let service = node.settings.service.clone();
