Show operators a version that a daemon can't decode

Cause: a refused version left one line in the log, config-invalid, which didn't name the version. Followers fetched its copy again at each report of a newer version, twice a second from each peer that has it.

Change: the refused version, its source and what isn't valid in it are in the dump, in the status of the fleet and in the log, and a metric says that there is one, until a later version is decoded. A copy of it isn't fetched again for 5 s.

The repeated fetches were found by reading and have no test of their own.

--- a/crates/command/src/fleet_status.rs
+++ b/crates/command/src/fleet_status.rs
@@ -1,7 +1,7 @@
 use medlarspool_types::ConfigVersion;
 use serde::{Deserialize, Serialize};
 
-use crate::InstanceStatus;
+use crate::{InstanceStatus, RefusedConfig};
 
 /// One daemon's view of the whole fleet, as returned by its `GET /status`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -10,6 +10,9 @@
     pub instances: Vec<InstanceStatus>,
     /// The newest version that it knows of.
     pub newest: ConfigVersion,
+    /// The version that it can't put in force, since it isn't valid.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refused_config: Option<RefusedConfig>,
 }
 
 impl FleetStatus {
--- a/crates/command/src/lib.rs
+++ b/crates/command/src/lib.rs
@@ -17,6 +17,7 @@
 mod list_texts;
 mod log_line;
 mod put;
+mod refused_config;
 mod restore;
 mod run;
 mod status;
@@ -26,5 +27,5 @@
 
 pub use crate::{
     command_error::CommandError, console::Console, fleet_status::FleetStatus,
-    instance_status::InstanceStatus, run::run,
+    instance_status::InstanceStatus, refused_config::RefusedConfig, run::run,
 };
--- a/crates/command/src/status.rs
+++ b/crates/command/src/status.rs
@@ -67,6 +67,7 @@
     };
     let mut pairs = one.instances.iter().zip(&other.instances);
     one.newest != other.newest
+        || one.refused_config != other.refused_config
         || one.instances.len() != other.instances.len()
         || !pairs.all(|(one, other)| same(one, other))
 }
@@ -93,10 +94,20 @@
     }
     let holder_count = status.count_holders(status.newest);
     let (daemon_count, newest) = (status.instances.len(), status.newest);
-    Ok(writeln!(
+    writeln!(
         console.output,
         "{holder_count} of {daemon_count} daemons hold version {newest}"
-    )?)
+    )?;
+    if let Some(refused) = &status.refused_config {
+        let version = refused.version;
+        let version = version.map_or_else(|| "unknown".into(), |version| version.to_string());
+        writeln!(
+            console.output,
+            "the queried daemon can't apply version {version} from the {}: {}",
+            refused.source, refused.reason
+        )?;
+    }
+    Ok(())
 }
 
 fn print_instance(
--- a/crates/edge/src/administration.rs
+++ b/crates/edge/src/administration.rs
@@ -89,6 +89,9 @@
         if let Some(tracker) = &node.rollouts {
             metrics.rollouts.update(&tracker.rollouts.statuses(now));
         }
+        metrics
+            .config_refused
+            .set(node.refused_config.is_some().into());
         metrics.crash_suspects.set(clamped(node.crashes.len()));
         let remaining_retries = node.retry_budget.least_remaining(now, alive_count);
         #[allow(clippy::cast_possible_truncation)]
--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     app::App, boot_clock::boot_time, contain::contain, fault_injection::reach,
-    fault_point::FaultPoint, fetch::fetch, node::Node, store_answer::StoreAnswer,
-    store_client::backoff, store_error::StoreError,
+    fault_point::FaultPoint, fetch::fetch, node::Node, refused_config::RefusedConfig,
+    store_answer::StoreAnswer, store_client::backoff, store_error::StoreError,
 };
 
 /// How long the store is asked to hold a feed open, which is a call that returns when there is a change. A
@@ -236,16 +236,25 @@
     app: &Rc<App>,
     bytes: &[u8],
     compressed: Option<Bytes>,
-    source: &str,
+    source: &'static str,
 ) -> Option<u64> {
     let config = match medlarspool_adapter::decode_config(bytes) {
         Ok(config) => config,
         Err(error) => {
-            log::error!(event = "config-invalid", source = source, error = error.to_string().as_str(); "");
+            let version = medlarspool_adapter::decode_config_version(bytes);
+            app.core.with(|node, cx| {
+                node.record_refused_config(RefusedConfig {
+                    reason: error.to_string(),
+                    refused_at: cx.now(),
+                    source,
+                    version,
+                });
+            });
             return None;
         }
     };
     let version = config.version;
+    app.core.with(|node, _| node.record_valid_config(version));
     if !app.core.with(|node, _| node.is_newer(&config)) {
         return Some(version);
     }
--- a/crates/edge/src/fleet_status.rs
+++ b/crates/edge/src/fleet_status.rs
@@ -3,7 +3,7 @@
 use medlarspool_mesh::{AnnouncedState, Peer};
 use serde_json::{Value, json};
 
-use crate::{app::App, units::millis};
+use crate::{app::App, refused_config::RefusedConfig, units::millis};
 
 /// Returns what this daemon knows of the whole fleet, in the form that `medlarspool status` reads.
 ///
@@ -25,8 +25,11 @@
                 })
             })
             .collect();
-        let mut status =
-            json!({ "instances": instances, "newest": node.directory.newest_config_version(now) });
+        let mut status = json!({
+            "instances": instances,
+            "newest": node.directory.newest_config_version(now),
+            "refused_config": node.refused_config.as_ref().map(RefusedConfig::to_json),
+        });
         if let Some(rollouts) = node.rollouts_json(now) {
             status["rollouts"] = rollouts;
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -89,6 +89,7 @@
 mod quotas;
 mod read_ahead;
 mod readiness;
+mod refused_config;
 mod release;
 mod reply;
 mod reply_head;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -11,6 +11,7 @@
 pub(crate) struct Metrics {
     pub(crate) answers: IntCounterVec,
     pub(crate) config_age: IntGauge,
+    pub(crate) config_refused: IntGauge,
     pub(crate) config_version: IntGauge,
     pub(crate) confirmation_age: Gauge,
     pub(crate) crash_suspects: IntGauge,
@@ -61,6 +62,10 @@
                 "medlarspool_config_age_seconds",
                 "Seconds since the version in force was put in force; 0 without one",
             )?,
+            config_refused: registry.gauge(
+                "medlarspool_config_refused",
+                "Whether the latest version is refused since this daemon can't decode it: 1 if so, or else 0",
+            )?,
             config_version: registry.gauge("medlarspool_config_version", "Version in force; 0 for none")?,
             confirmation_age: registry.float_gauge(
                 "medlarspool_confirmation_age_seconds",
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     app::App, boot_clock::boot_time, confirmation::Confirmation, quotas::Quotas,
-    rollout_tracker::RolloutTracker, running_work::RunningWork, waiter::Waiter,
+    refused_config::RefusedConfig, rollout_tracker::RolloutTracker, running_work::RunningWork,
+    waiter::Waiter,
 };
 
 /// How long a relay goes on as one while the store doesn't answer it. Followers would otherwise all call the store
@@ -59,6 +60,9 @@
     pub(crate) own_target: OwnTarget,
     pub(crate) queue: GateQueue,
     pub(crate) quotas: Quotas,
+    /// The latest version that isn't in force since it isn't valid; none if there is no such version, or a later one is in
+    /// force.
+    pub(crate) refused_config: Option<RefusedConfig>,
     relays_failed_at: Option<Instant>,
     /// When this daemon went on after a pause; none if it was never paused.
     pub(crate) resumed_at: Option<Instant>,
@@ -129,6 +133,7 @@
             own_target: OwnTarget::default(),
             queue: GateQueue::new(0),
             quotas: Quotas::default(),
+            refused_config: None,
             relays_failed_at: None,
             resumed_at: None,
             rollouts: settings.rollouts.map(RolloutTracker::new),
@@ -266,6 +271,18 @@
             .is_none_or(|known| known.version < config.version)
     }
 
+    /// Records that a version of the configuration isn't valid.
+    pub(crate) fn record_refused_config(&mut self, refused: RefusedConfig) {
+        log::error!(event = "config-invalid", source = refused.source, version = refused.version, error = refused.reason.as_str(); "");
+        self.refused_config = Some(refused);
+    }
+
+    /// Records that a version of the configuration is valid: the refused one isn't the latest any more.
+    pub(crate) fn record_valid_config(&mut self, version: u64) {
+        self.refused_config
+            .take_if(|refused| refused.version.is_none_or(|refused| refused <= version));
+    }
+
     /// Puts a configuration in force if it is newer than the present one.
     ///
     /// A relay reports the new version at once. Other daemons include it in their next regular reports,
--- a/crates/edge/src/node_reports.rs
+++ b/crates/edge/src/node_reports.rs
@@ -290,7 +290,9 @@
         }
         self.learn_reported_rollouts(cx, &report);
         let reported_version = report.sender.config_version;
-        let is_behind = self.config_version() < reported_version;
+        let refused = self.refused_config.as_ref();
+        let is_behind = self.config_version() < reported_version
+            && refused.is_none_or(|refused| !refused.rules_out(now, reported_version));
         for (fingerprint, id) in &report.crashes {
             self.crashes.record(now, *fingerprint, *id);
         }
--- a/crates/edge/src/state_dump.rs
+++ b/crates/edge/src/state_dump.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use crate::{app::App, units::millis};
+use crate::{app::App, refused_config::RefusedConfig, units::millis};
 
 /// How many of the accounts with queued requests are shown.
 const SHOWN_ACCOUNT_COUNT: usize = 10;
@@ -50,6 +50,7 @@
             "keys_permitted": node.permits_keys(),
             "peers": peers,
             "quotas": node.quota_dump(now),
+            "refused_config": node.refused_config.as_ref().map(RefusedConfig::to_json),
             "relay_elected_ms": node.elected_at.map(|at| millis(now.saturating_duration_since(at))),
             "relays_config": node.relays_config(now),
             "serving": node.serving,
