Have the fake peer report crashes in their present form

The daemon's tests didn't compile since reports say what a crash means for each request. The test of a quarantined request reports a first crash and one by which it was the only suspect, where it reported two as such: the condition that it needs is the same, that the request is refused.

--- a/crates/daemon/tests/fake_peer/mod.rs
+++ b/crates/daemon/tests/fake_peer/mod.rs
@@ -7,7 +7,7 @@
 };
 
 use medlarspool_hop::Report;
-use medlarspool_mesh::{AnnouncedState, PeerRecord, TargetLoad, TargetRecord};
+use medlarspool_mesh::{AnnouncedState, PeerRecord, ReportedCrash, TargetLoad, TargetRecord};
 
 /// The interval between reports, which is shorter than a real daemon's.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -18,8 +18,8 @@
 /// What the fake daemon reports of itself.
 pub struct FakePeer {
     pub address: SocketAddr,
-    /// The fingerprint of a suspect and the id of the crash, for each crash reported.
-    pub crashes: Vec<(u64, u64)>,
+    /// The crashes that it reports.
+    pub crashes: Vec<ReportedCrash>,
     pub service: &'static str,
     pub target: &'static str,
 }
--- a/crates/daemon/tests/refusal_lines.rs
+++ b/crates/daemon/tests/refusal_lines.rs
@@ -17,6 +17,7 @@
 };
 
 use fake_peer::FakePeer;
+use medlarspool_mesh::{CrashEvidence, ReportedCrash};
 use rstest::rstest;
 use site_process::SiteProcess;
 use stand_in::{
@@ -274,7 +275,16 @@
     }
     let peer = FakePeer {
         address: gate_address,
-        crashes: vec![(fingerprint(), 1), (fingerprint(), 2)],
+        crashes: [CrashEvidence::Ran, CrashEvidence::Sole]
+            .into_iter()
+            .zip(1..)
+            .map(|(evidence, id)| ReportedCrash {
+                age: Duration::ZERO,
+                evidence,
+                fingerprint: fingerprint(),
+                id,
+            })
+            .collect(),
         service: if hop_destination == HopDestination::EntryItself {
             "alerts"
         } else {
