Reject answers with a status that no answer may have

Operators of other systems saw a target's 000 reach a client. Here 600 and 999 did, 502 was due. 000 and 099 counted as interim answers: with a body the exchange failed on it, without one the request waited until its deadline, as after 101.

Cause: exchange took every status below 200 for an interim answer and every other one for a final one. Ruled out: httparse, which checks that there are three digits, as the protocol says.

Change: ResponseHead::take, which reads the answers of targets, hops, the store and peers, refuses all but 100 and 102 to 599. Nobody asks for another protocol, so that 101 says nothing. An unsafe request gets 502 at once, a safe one is tried elsewhere.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -55,7 +55,7 @@
             sent_whole = send_body_rest(&mut stream, &mut request).await?;
         }
         let head = read_head(&mut stream, silence).await?;
-        if head.status < 200 {
+        if head.is_interim() {
             interim_count += 1;
             if interim_count > MAX_INTERIM_RESPONSES {
                 return Err(ExchangeError::InvalidResponse);
--- a/crates/edge/src/message_head.rs
+++ b/crates/edge/src/message_head.rs
@@ -59,6 +59,8 @@
 
 impl ResponseHead {
     /// Parses a response's head and removes it from `buffer`; returns `None` if it isn't complete yet.
+    ///
+    /// A status that neither an interim nor a final response may have is an error, whoever sent it.
     pub(crate) fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HttpError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut fields);
@@ -76,6 +78,9 @@
         }
         let is_http_11 = parsed.version == Some(1);
         let status = parsed.code.unwrap_or_default();
+        if !is_valid_status(status) {
+            return Err(HttpError::Malformed);
+        }
         let ranges = field_ranges(buffer, parsed.headers);
         let block = buffer.split_to(head_length).freeze();
         Ok(Some(Self {
@@ -85,12 +90,22 @@
         }))
     }
 
+    /// Returns whether another response to the same request follows.
+    pub(crate) const fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
     /// Returns whether the server keeps the connection open.
     pub(crate) fn keeps_alive(&self) -> bool {
         keeps_alive(&self.headers, self.is_http_11)
     }
 }
 
+/// Returns whether a response may have a status. No request asks for another protocol, to which 101 would change.
+const fn is_valid_status(status: u16) -> bool {
+    matches!(status, 100 | 102..=599)
+}
+
 type Range = std::ops::Range<usize>;
 
 /// Returns the length of a head in bytes, or `None` if it isn't complete yet.
