Bound the answers of the store and the copies of peers

Operators of other systems lost a machine's memory to an answer without end. Bodies of targets are passed on piece by piece here. The store's answers and a peer's copy of the configuration were collected whole, whatever came.

Cause: Response::whole_body had no limit. Ruled out for targets: heads, interim answers, chunks and unframed bodies, by the tests that were there.

Change: whole_body takes one, 8 MiB for both. A length beyond it is refused before anything is read. Such an answer has an error and an outcome of its own in store_calls_total.

--- a/crates/edge/src/config_sync.rs
+++ b/crates/edge/src/config_sync.rs
@@ -7,9 +7,17 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    app::App, boot_clock::boot_time, contain::contain, fault_injection::reach,
-    fault_point::FaultPoint, fetch::fetch, node::Node, refused_config::RefusedConfig,
-    store_answer::StoreAnswer, store_client::backoff, store_error::StoreError,
+    app::App,
+    boot_clock::boot_time,
+    contain::contain,
+    fault_injection::reach,
+    fault_point::FaultPoint,
+    fetch::fetch,
+    node::Node,
+    refused_config::RefusedConfig,
+    store_answer::StoreAnswer,
+    store_client::{MAX_ANSWER_BYTES, backoff},
+    store_error::StoreError,
 };
 
 /// How long the store is asked to hold a feed open, which is a call that returns when there is a change. A
@@ -43,6 +51,9 @@
 /// The longest wait for a peer's copy of the configuration.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The longest compressed copy of the configuration; the store's answer with the configuration has at most as many bytes.
+const MAX_COPY_BYTES: usize = MAX_ANSWER_BYTES;
+
 /// The most peers asked for a copy before the store is asked.
 const MAX_PEERS_ASKED: usize = 3;
 
@@ -328,5 +339,5 @@
     if response.status != 200 {
         return None;
     }
-    response.whole_body().await.ok()
+    response.whole_body(MAX_COPY_BYTES).await.ok()
 }
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::{io::ErrorKind, time::Instant};
 
 use bytes::Bytes;
 
@@ -17,12 +17,29 @@
 
 impl Response {
     /// Returns the whole body; reads a streamed one to its end.
-    pub(crate) async fn whole_body(mut self) -> std::io::Result<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks, or once it is known that the body is longer than `max_bytes`.
+    pub(crate) async fn whole_body(mut self, max_bytes: usize) -> std::io::Result<Bytes> {
         let Some(streamed_body) = &mut self.streamed_body else {
             return Ok(self.body);
         };
+        let too_long = || {
+            let reason = format!("the body has more than {max_bytes} bytes");
+            std::io::Error::new(ErrorKind::InvalidData, reason)
+        };
+        if streamed_body
+            .length
+            .is_some_and(|length| length > max_bytes as u64)
+        {
+            return Err(too_long());
+        }
         let mut body = self.body.to_vec();
         while let Some(piece) = streamed_body.next().await? {
+            if body.len() + piece.len() > max_bytes {
+                return Err(too_long());
+            }
             body.extend_from_slice(&piece);
         }
         Ok(body.into())
--- a/crates/edge/src/store_client.rs
+++ b/crates/edge/src/store_client.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::Cell,
+    io::ErrorKind,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -22,6 +23,10 @@
 /// The longest wait for a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The longest answer that is read. The store sends a megabyte of rows at the most, and a configuration of half a megabyte
+/// has more than a thousand routes; several answers at once must fit into the memory of a small machine.
+pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// How long an idle connection to the store may be reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
@@ -93,8 +98,11 @@
             return Err(StoreError::EarlierEra);
         }
         let status = response.status;
-        let body_bytes = response.whole_body().await;
-        let body_bytes = body_bytes.map_err(|_| StoreError::NoAnswer)?;
+        let body_bytes = response.whole_body(MAX_ANSWER_BYTES).await;
+        let body_bytes = body_bytes.map_err(|error| match error.kind() {
+            ErrorKind::InvalidData => StoreError::AnswerTooLong(MAX_ANSWER_BYTES),
+            _ => StoreError::NoAnswer,
+        })?;
         match status {
             200 => StoreRows::decode(&body_bytes)
                 .map(|rows| self.answer_of(rows))
@@ -152,6 +160,7 @@
 
 fn outcome(result: &Result<StoreAnswer, StoreError>) -> &'static str {
     match result {
+        Err(StoreError::AnswerTooLong(_)) => "too_long",
         Err(StoreError::Conflict(_)) => "conflict",
         Err(StoreError::EarlierEra) => "earlier_era",
         Err(StoreError::InvalidResponse(_)) => "invalid",
--- a/crates/edge/src/store_error.rs
+++ b/crates/edge/src/store_error.rs
@@ -4,6 +4,8 @@
 /// Why a call to the store failed.
 #[derive(Debug, Display)]
 pub(crate) enum StoreError {
+    /// the store's answer has more than {0} bytes
+    AnswerTooLong(usize),
     // The rows are those whose versions the write expected, as they are now.
     /// a row doesn't have the expected version
     Conflict(Vec<StoreRow>),
