Show a request that runs twice after its gate was cut off for seven seconds

Cause: a gate forgets an ended run after 6 s, whatever the deadline of its request is. When the machine is back later than that, the gate tells the entry that it never saw the request, and the entry has it run once more.

--- a/review/stand-ins-3/src/machine.rs
+++ b/review/stand-ins-3/src/machine.rs
@@ -68,20 +68,31 @@
     starts: u32,
 }
 
+/// What the settings of a machine's daemon follow from.
+pub struct Site<'a> {
+    pub bounds: &'a [&'a str],
+    pub ip: IpAddr,
+    pub ports: Ports,
+    pub service: &'a str,
+    pub store: IpAddr,
+    pub zone: &'a str,
+}
+
 impl Machine {
     /// Starts the daemon of a machine, with bounds as in a site's sheet.
-    pub fn start(
-        folder: &Path,
-        ip: IpAddr,
-        store: IpAddr,
-        ports: Ports,
-        service: &str,
-        bounds: &[&str],
-    ) -> Self {
+    pub fn start(folder: &Path, site: &Site) -> Self {
+        let Site {
+            bounds,
+            ip,
+            ports,
+            service,
+            store,
+            zone,
+        } = *site;
         let address = |port: u16| SocketAddr::new(ip, port).to_string();
         let settings = json!({
             "node_name": format!("sidecar-{ip}"), "role": "daemon", "machine_class": "sidecar", "serves": ["sidecar"],
-            "ip": ip.to_string(), "zone": "zone-a", "region": "region", "zones": {"zone-a": "region"},
+            "ip": ip.to_string(), "zone": zone, "region": "region", "zones": {"zone-a": "region", "zone-b": "region"},
             "listen_addrs": {"outbound": address(ports.outbound), "ready": address(ports.ready),
                              "control": address(ports.control)},
             "internal_ports": [ports.first_internal, ports.last_internal], "seeds": [], "bootstrap": true,
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -3,6 +3,8 @@
 
 mod client;
 mod http;
+mod link;
+mod long_cut;
 mod machine;
 mod record;
 mod store;
@@ -31,6 +33,7 @@
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
         "drain" => suspects::play_drain(&record, has_trouble),
+        "long-cut" => long_cut::play(&record, has_trouble),
         "stop" => suspects::play_stop(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -50,6 +50,13 @@
         self.changed.notify_all();
     }
 
+    /// Returns the value of a row; none if there is no such row.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let rows = self.rows.lock().unwrap();
+        let (value, _) = rows.rows.get(&(table.into(), key.into()))?;
+        value.as_deref().map(unbase64)
+    }
+
     fn serve(&self, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream);
@@ -196,3 +203,22 @@
     }
     text
 }
+
+fn unbase64(text: &str) -> Vec<u8> {
+    let digit = |letter: u8| match letter {
+        b'A'..=b'Z' => u32::from(letter - b'A'),
+        b'a'..=b'z' => u32::from(letter - b'a') + 26,
+        b'0'..=b'9' => u32::from(letter - b'0') + 52,
+        b'+' => 62,
+        _ => 63,
+    };
+    let mut bytes = Vec::new();
+    for chunk in text.trim_end_matches('=').as_bytes().chunks(4) {
+        let bits = chunk
+            .iter()
+            .fold(0, |bits, letter| bits << 6 | digit(*letter));
+        let bits = bits << (6 * (4 - chunk.len()));
+        bytes.extend_from_slice(&bits.to_be_bytes()[1..chunk.len()]);
+    }
+    bytes
+}
--- a/review/stand-ins-3/src/suspects.rs
+++ b/review/stand-ins-3/src/suspects.rs
@@ -13,7 +13,7 @@
 use crate::{
     Verdict,
     client::{Outcome, call},
-    machine::{Machine, Ports, wait_until},
+    machine::{Machine, Ports, Site, wait_until},
     record::Record,
     store::Store,
     upstream::{Spec, Upstream},
@@ -79,8 +79,16 @@
         let ports = Ports::find(&[store_ip, entry_ip, gate_ip]);
         let store = Store::start((store_ip, ports.store).into());
         store.put("op", "config", config().as_bytes());
-        let entry = Machine::start(&folder, entry_ip, store_ip, ports, "booking-desk", &BOUNDS);
-        let gate = Machine::start(&folder, gate_ip, store_ip, ports, "baggage-hall", &BOUNDS);
+        let site = |ip, service| Site {
+            bounds: &BOUNDS,
+            ip,
+            ports,
+            service,
+            store: store_ip,
+            zone: "zone-a",
+        };
+        let entry = Machine::start(&folder, &site(entry_ip, "booking-desk"));
+        let gate = Machine::start(&folder, &site(gate_ip, "baggage-hall"));
         let is_ready = || entry.readiness() == 200 && gate.readiness() == 200;
         if !wait_until(record, "readiness", Duration::from_secs(15), is_ready) {
             return None;
