--- a/review/stand-ins-3/src/suspects.rs
+++ b/review/stand-ins-3/src/suspects.rs
@@ -57,15 +57,18 @@
     "recovery_s=15",
 ];
 
-/// The machine where the clients are, with an upstream of another service, and the one beside the upstream of
-/// `baggage-hall`.
+/// How many upstreams of `baggage-hall` are in the other zone.
+const OTHER_UPSTREAMS: u8 = 7;
+
+/// The machine where the clients are, with an upstream of another service, and the machines of `baggage-hall`: one in the
+/// clients' zone, which gets their requests while it has room, and the others in another zone.
 struct Deployment {
     baggage: Upstream,
     baggage_spec: Spec,
     entry: Machine,
-    /// Keeps the daemon of the gate and the other upstream.
-    _gate: Machine,
-    _other: Upstream,
+    /// Keeps the other daemons and upstreams.
+    _machines: Vec<Machine>,
+    _upstreams: Vec<Upstream>,
     folder: PathBuf,
 }
 
@@ -76,40 +79,63 @@
         std::fs::create_dir_all(&folder).ok()?;
         let ip = |last| IpAddr::V4(Ipv4Addr::new(127, 93, 11, last));
         let (store_ip, entry_ip, gate_ip) = (ip(1), ip(2), ip(3));
-        let ports = Ports::find(&[store_ip, entry_ip, gate_ip]);
+        let other_ips: Vec<IpAddr> = (0..OTHER_UPSTREAMS).map(|index| ip(4 + index)).collect();
+        let ips = [&[store_ip, entry_ip, gate_ip][..], &other_ips].concat();
+        let ports = Ports::find(&ips);
         let store = Store::start((store_ip, ports.store).into());
         store.put("op", "config", config().as_bytes());
-        let site = |ip, service| Site {
-            bounds: &BOUNDS,
-            ip,
-            ports,
-            service,
-            store: store_ip,
-            zone: "zone-a",
+        let start = |ip, service, zone| {
+            let site = Site {
+                bounds: &BOUNDS,
+                ip,
+                ports,
+                service,
+                store: store_ip,
+                zone,
+            };
+            Machine::start(&folder, &site)
+        };
+        let entry = start(entry_ip, "booking-desk", "zone-a");
+        let gate = start(gate_ip, "baggage-hall", "zone-a");
+        let others: Vec<Machine> = other_ips
+            .iter()
+            .map(|ip| start(*ip, "baggage-hall", "zone-b"))
+            .collect();
+        let is_ready = || {
+            let mut machines = others.iter().chain([&entry, &gate]);
+            machines.all(|machine| machine.readiness() == 200)
         };
-        let entry = Machine::start(&folder, &site(entry_ip, "booking-desk"));
-        let gate = Machine::start(&folder, &site(gate_ip, "baggage-hall"));
-        let is_ready = || entry.readiness() == 200 && gate.readiness() == 200;
         if !wait_until(record, "readiness", Duration::from_secs(15), is_ready) {
             return None;
         }
-        let spec = |machine: &Machine, service: &str| Spec {
+        let spec = |machine: &Machine, service: &str, zone: &str| Spec {
             address: machine.address(ports.app),
             control: machine.address(ports.control),
             service: service.into(),
             slots: SLOTS,
             work: WORK,
-            zone: "zone-a".into(),
+            zone: zone.into(),
         };
-        let other = Upstream::start(spec(&entry, "booking-desk"), "i-booking-1", record);
-        let baggage_spec = spec(&gate, "baggage-hall");
+        let booking = spec(&entry, "booking-desk", "zone-a");
+        let mut upstreams = vec![Upstream::start(booking, "i-booking-1", record)];
+        let baggage_spec = spec(&gate, "baggage-hall", "zone-a");
         let baggage = Upstream::start(baggage_spec.clone(), "i-baggage-1", record);
+        for (index, machine) in others.iter().enumerate() {
+            let id = format!("i-baggage-b{index}");
+            upstreams.push(Upstream::start(
+                spec(machine, "baggage-hall", "zone-b"),
+                &id,
+                record,
+            ));
+        }
+        let mut machines = others;
+        machines.push(gate);
         let deployment = Self {
             baggage,
             baggage_spec,
             entry,
-            _gate: gate,
-            _other: other,
+            _machines: machines,
+            _upstreams: upstreams,
             folder,
         };
         if !deployment.wait_for_baggage(record) {
