Show a request that crashes upstreams in its answer and is never refused

Cause: a crash counts for a request only if its connection ends before the head of its answer, and a long answer counts as given once its beginning was read.

--- a/review/stand-ins-3/src/long_cut.rs
+++ b/review/stand-ins-3/src/long_cut.rs
@@ -111,6 +111,8 @@
     let spec = |machine: &Machine, service: &str, zone: &str| Spec {
         address: machine.address(ports.app),
         control: machine.address(ports.control),
+        crashes: false,
+        long_path: None,
         service: service.into(),
         slots: 6,
         work: WORK,
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -2,6 +2,7 @@
 //! and 2 if the case couldn't run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod client;
+mod crashing_answer;
 mod http;
 mod link;
 mod long_cut;
@@ -32,6 +33,7 @@
     let record = Record::create(Path::new(folder));
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
+        "crashing-answer" => crashing_answer::play(&record, has_trouble),
         "drain" => suspects::play_drain(&record, has_trouble),
         "long-cut" => long_cut::play(&record, has_trouble),
         "stop" => suspects::play_stop(&record, has_trouble),
--- a/review/stand-ins-3/src/suspects.rs
+++ b/review/stand-ins-3/src/suspects.rs
@@ -111,6 +111,8 @@
         let spec = |machine: &Machine, service: &str, zone: &str| Spec {
             address: machine.address(ports.app),
             control: machine.address(ports.control),
+            crashes: false,
+            long_path: None,
             service: service.into(),
             slots: SLOTS,
             work: WORK,
--- a/review/stand-ins-3/src/upstream.rs
+++ b/review/stand-ins-3/src/upstream.rs
@@ -24,6 +24,10 @@
 /// An acknowledgement counts if it arrives within a second.
 const ACK_TIME: Duration = Duration::from_secs(1);
 
+/// The length of a long answer's body, and a pause after two thirds of it.
+const LONG_ANSWER_BYTES: usize = 300_000;
+const LONG_ANSWER_PAUSE: Duration = Duration::from_millis(100);
+
 /// One request that the upstream began to run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -38,6 +42,10 @@
 pub struct Spec {
     pub address: SocketAddr,
     pub control: SocketAddr,
+    /// Whether requests for `long_path` crash the upstream in the middle of their answer.
+    pub crashes: bool,
+    /// The path of requests whose answers are long; none if there are none.
+    pub long_path: Option<String>,
     pub service: String,
     pub slots: usize,
     pub work: Duration,
@@ -134,6 +142,11 @@
         answer.is_some_and(|answer| (200..300).contains(&answer.status()))
     }
 
+    /// Returns whether the upstream has ended, as by a crash.
+    pub fn has_ended(&self) -> bool {
+        self.0.is_ended.load(Ordering::SeqCst)
+    }
+
     /// Says that the upstream leaves, until that is acknowledged; returns when it was.
     pub fn drain(&self) -> Instant {
         self.0.is_leaving.store(true, Ordering::SeqCst);
@@ -170,12 +183,7 @@
     }
 
     fn end(&self) {
-        self.0.is_ended.store(true, Ordering::SeqCst);
-        // The accepting thread drops its listener within a millisecond.
-        thread::sleep(Duration::from_millis(5));
-        for (_, connection) in self.0.connections.lock().unwrap().drain() {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
+        self.0.end();
     }
 
     /// Returns the requests that the upstream began to run.
@@ -190,6 +198,16 @@
 }
 
 impl State {
+    /// Ends as a process does: its listener first, and then its connections.
+    fn end(&self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+        // The accepting thread drops its listener within a millisecond.
+        thread::sleep(Duration::from_millis(5));
+        for (_, connection) in self.connections.lock().unwrap().drain() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         while !self.is_ended.load(Ordering::SeqCst) {
             let Ok((stream, _)) = listener.accept() else {
@@ -226,12 +244,45 @@
                     None => return,
                 }
             };
+            let is_long = self.spec.long_path.as_deref() == Some(request.second_word());
+            if is_long && !answer.contains("Not-Executed") {
+                if !self.answer_at_length(&request, writer) {
+                    return;
+                }
+                continue;
+            }
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Sends a long answer, and crashes in the middle of it if such requests do that; returns whether it was sent whole.
+    fn answer_at_length(&self, request: &Message, mut writer: &TcpStream) -> bool {
+        let id = request.header("Request-Id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s-{id}\r\nServer-Load: {}\r\nContent-Length: {LONG_ANSWER_BYTES}\r\n\r\n",
+            self.load()
+        );
+        let body = "x".repeat(LONG_ANSWER_BYTES);
+        let (first, rest) = body.split_at(LONG_ANSWER_BYTES / 3 * 2);
+        if writer.write_all((head + first).as_bytes()).is_err() {
+            return false;
+        }
+        thread::sleep(LONG_ANSWER_PAUSE);
+        if self.spec.crashes {
+            let text = format!(
+                "upstream {} crashes at {id} {}",
+                self.id,
+                request.second_word()
+            );
+            self.record.line(&text);
+            self.end();
+            return false;
+        }
+        writer.write_all(rest.as_bytes()).is_ok()
+    }
+
     fn health(&self) -> String {
         let status = if self.is_leaving.load(Ordering::SeqCst) {
             503
